--- /dev/null
+++ b/granitedock/benchlink/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter between the decisions and the simulator's wire."""
--- /dev/null
+++ b/granitedock/benchlink/birth.py
@@ -0,0 +1,77 @@
+"""Decoding of the first message: what an instance is born with, in our words."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from granitedock.policy.interface import Cold, Group, Kind, Leave, Plan, Product
+
+KINDS = {"safe": Kind.HARMLESS, "keyed": Kind.STAMPED, "unsafe": Kind.ONE_SHOT}
+PER_MS = 0.001
+
+
+def number(record: dict[str, Any], key: str) -> float:
+    """A number of the record; absent and null read as nought."""
+    value = record.get(key)
+    return 0.0 if value is None else float(value)
+
+
+def products(born: dict[str, Any]) -> list[Product]:
+    return [
+        Product(
+            name=lane["Name"],
+            kind=KINDS[lane["Repeat"]],
+            group=Group(lane.get("DedupScope") or "all"),
+            group_ms=number(lane, "WindowMs"),
+            quoted_ms=number(lane, "TargetMs"),
+            cutoff_ms=number(lane, "GiveUpMs"),
+            benefit=number(lane, "Worth"),
+            late_benefit=number(lane, "LateWorth"),
+            stream=bool(lane.get("Stream")),
+        )
+        for lane in born["Lanes"]
+    ]
+
+
+def plans(born: dict[str, Any]) -> list[Plan]:
+    return [
+        Plan(
+            name=tariff["Name"],
+            rate=number(tariff, "Refill") * PER_MS,
+            burst=number(tariff, "MostAtOnce"),
+            most_out=int(number(tariff, "Concurrency")),
+            benefit_factor=number(tariff, "WorthFactor"),
+            over_benefit=number(tariff, "OverWorth"),
+            over_cost=number(tariff, "ExcessCost"),
+            ceiling_rate=number(tariff, "CeilingRate") * PER_MS,
+            ceiling_burst=number(tariff, "CeilingBurst"),
+            ceiling_slack=number(tariff, "Tolerance"),
+        )
+        for tariff in born["Tariffs"]
+    ]
+
+
+def leave(born: dict[str, Any]) -> Leave:
+    allowed = born["Allowed"]
+    return Leave(
+        most_forwards=int(number(allowed, "MaxAttempts")),
+        second_copies=bool(allowed.get("SecondCopies")),
+        withdraw=bool(allowed.get("Cancel")),
+        probes=bool(allowed.get("Probes")),
+        retry_after=bool(allowed.get("RetryAfter")),
+        most_retry_after_ms=number(allowed, "MaxRetryAfterMs"),
+    )
+
+
+def cold(born: dict[str, Any]) -> Cold:
+    safety = born["Safety"]
+    return Cold(
+        start_share=number(safety, "ColdFrom"),
+        warm_after_ms=number(safety, "ColdMs"),
+        overload_factor=number(safety, "OverloadFactor"),
+        tip_after_ms=number(safety, "TipAfterMs"),
+    )
+
+
+def has_counter(born: dict[str, Any]) -> bool:
+    return bool((born.get("Specifics") or {}).get("Counter"))
--- /dev/null
+++ b/granitedock/policy/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions of granitedock, and the types by which they are called."""
--- /dev/null
+++ b/granitedock/policy/decisions.py
@@ -0,0 +1,615 @@
+"""All decisions of granitedock, read aloud after outages.
+
+How it is called: a carrier makes one Gateway per api gateway, sets its clock `now` before each batch,
+and calls roster, take, ended, started, client_gone, counted, woke and probed; what the gateway decides
+goes out through the Door it was given. Types and the Door's protocol: granitedock/policy/interface.py.
+What is kept of the design, what was changed and why: docs/design.md.
+"""
+
+from __future__ import annotations
+
+import zlib
+
+from granitedock.policy.interface import (
+    Call,
+    Cold,
+    Customer,
+    Door,
+    Ending,
+    Forward,
+    Group,
+    Host,
+    Kind,
+    Leave,
+    Plan,
+    Sighting,
+    Status,
+    Task,
+)
+
+BUDGET_MS = 20.0  # the design's budget of a call to the counter
+BREAKER_FAILURES = 5  # the design's breaker opens after so many failures in a row
+QUARANTINE_MS = 5000.0  # ... and lets one trial call through after this
+WINDOW_OF_BURST = 2.0  # a window is as long as the rate needs to fill the burst, this many times
+LONGEST_NAME_MS = 60000.0  # the counter keeps no name longer
+NAMES_LAST = 3.0  # windows: a name serves two, and one more for clocks that the calls straddle
+HOST_FAILURES = 3  # in a row set a host aside
+ASIDE_MS = 3000.0  # before its trial
+SILENT_AFTER = 4.0  # mean answer times without a sign of life
+PATIENCE = 4.0  # mean answer times before a forward that can be made again is given up
+SPARE_FORWARDS = 0.15  # further forwards, as a part of first ones, and a few more
+SPARE_AT_LEAST = 3.0
+FIRST_GUESS = 0.12  # of the quoted time: an answer's time before any was seen
+GUESS_WEIGHT = 3.0  # answers that the guess, or the fleet's mean for one host, counts as
+TOO_LATE = 1.0  # of the time left to the quoted time: an expected answer later than this is not begun
+TOO_LATE_BEYOND = 0.4  # the same for tasks beyond the quota, which only get room that is spare
+
+# A task: state and input give the next state and the effect, whose result is the next input.
+TASK = {
+    ("new", "arrived"): ("counting", "ask"),
+    ("counting", "within"): ("placing", "place"),
+    ("counting", "over"): ("placing", "beyond"),
+    ("counting", "unanswered"): ("counting", "emergency"),
+    ("counting", "client gone"): ("over", "refund"),
+    ("placing", "sent"): ("out", None),
+    ("placing", "nowhere"): ("over", "give_up"),
+    ("out", "served"): ("over", None),
+    ("out", "lost"): ("placing", "place"),
+    ("out", "client gone"): ("over", None),
+    ("out", "flowing"): ("flowing", None),
+    ("flowing", "served"): ("over", None),
+    ("flowing", "lost"): ("over", "give_up"),
+    ("flowing", "client gone"): ("over", None),
+}
+
+# What a task that may have run is still allowed: (another forward, a deferral); `group` asks the host
+# and the time, `whole group` that every host drops its repeats. One that never ran is allowed both.
+MAY_HAVE_RUN = {
+    Kind.HARMLESS: ("yes", "yes"),
+    Kind.STAMPED: ("group", "whole group"),
+    Kind.ONE_SHOT: ("no", "no"),
+}
+NEVER_RAN = frozenset({Ending.FULL, Ending.UNREACHED, Ending.MOOT})
+
+BREAKER = {
+    ("closed", "failed"): ("closed", "tally"),
+    ("closed", "tripped"): ("open", "quarantine"),
+    ("closed", "succeeded"): ("closed", "reset"),
+    ("open", "quarantine over"): ("half-open", None),
+    ("half-open", "failed"): ("open", "quarantine"),
+    ("half-open", "succeeded"): ("closed", "reset"),
+}
+
+HOST = {
+    ("trusted", "failed"): ("trusted", "tally"),
+    ("trusted", "tripped"): ("aside", "set_aside"),
+    ("trusted", "answered"): ("trusted", "clear"),
+    ("aside", "quarantine over"): ("on trial", None),
+    ("aside", "answered"): ("trusted", "let_back"),
+    ("on trial", "failed"): ("aside", "set_aside"),
+    ("on trial", "answered"): ("trusted", "let_back"),
+}
+
+
+def advance(table: dict, thing, signal: str | None, acts) -> None:
+    """Read the table until an effect gives no further input; an input without a row changes nothing."""
+    while signal is not None:
+        row = table.get((thing.state, signal))
+        if row is None:
+            return
+        thing.state, effect = row
+        signal = getattr(acts, effect)(thing) if effect else None
+
+
+class Ring:
+    """Sums over the last span, in fixed buckets of time used again in a ring."""
+
+    def __init__(self, span_ms: float, buckets: int = 8) -> None:
+        self.step = span_ms / buckets
+        self.stamps = [-1] * buckets
+        self.cells = [(0.0, 0.0)] * buckets
+
+    def add(self, now: float, first: float, second: float) -> None:
+        stamp = int(now // self.step)
+        at = stamp % len(self.cells)
+        old = self.cells[at] if self.stamps[at] == stamp else (0.0, 0.0)
+        self.stamps[at] = stamp
+        self.cells[at] = (old[0] + first, old[1] + second)
+
+    def sums(self, now: float) -> tuple[float, float]:
+        oldest = int(now // self.step) - len(self.cells)
+        live = [cell for stamp, cell in zip(self.stamps, self.cells) if stamp > oldest]
+        return sum(cell[0] for cell in live), sum(cell[1] for cell in live)
+
+
+class Bucket:
+    """A store of units that fills at a rate up to its depth."""
+
+    def __init__(self, rate: float, depth: float, level: float, now: float) -> None:
+        self.rate, self.depth, self.level, self.at = rate, depth, level, now
+
+    def room(self, now: float) -> float:
+        self.level = min(self.depth, self.level + self.rate * (now - self.at))
+        self.at = now
+        return self.level
+
+    def wait_ms(self, units: float, now: float) -> float:
+        return max(0.0, units - self.room(now)) / self.rate if self.rate > 0 else LONGEST_NAME_MS
+
+
+class Breaker:
+    """The design's breaker round the counter; only a genuine success in time resets it."""
+
+    def __init__(self, log) -> None:
+        self.state, self.failures, self.until, self.now, self.log = "closed", 0, 0.0, 0.0, log
+
+    def tell(self, signal: str, now: float) -> None:
+        before, self.now = self.state, now
+        advance(BREAKER, self, signal, self)
+        if self.state != before:
+            self.log(f"breaker {before} to {self.state}: {self.failures} failures in a row")
+
+    def lets_call(self, now: float) -> bool:
+        if self.state == "open" and now >= self.until:
+            self.tell("quarantine over", now)
+            return True
+        return self.state == "closed"
+
+    def tally(self, _self) -> str | None:
+        self.failures += 1
+        return "tripped" if self.failures >= BREAKER_FAILURES else None
+
+    def quarantine(self, _self) -> None:
+        self.until = self.now + QUARANTINE_MS
+
+    def reset(self, _self) -> None:
+        self.failures = 0
+
+
+class Book:
+    """One customer's account at this gateway: the two-window count, and the local buckets."""
+
+    def __init__(self, plan: Plan, spread: int, now: float) -> None:
+        self.plan, self.spread = plan, max(1, spread)
+        self.window_ms = window_ms(plan)
+        self.window, self.current, self.previous = -1, 0.0, 0.0
+        self.debt = 0.0  # units owed back to the current name
+        self.out = 0
+        self.touched_at = now
+        share = 1.0 / self.spread
+        self.local = Bucket(plan.rate * share, plan.burst * share, plan.burst * share, now)
+        # A ceiling is held by an even share that starts as low as the slack allows: a gateway cannot
+        # tell a restart from a first start, and every restart of all gateways of the set together may
+        # pass the ceiling by half the slack at most.
+        self.ceiling = None
+        if plan.ceiling_rate > 0:
+            start = plan.ceiling_slack * share / 2
+            self.ceiling = Bucket(plan.ceiling_rate * share, plan.ceiling_burst * share, start, now)
+
+    def turn(self, now: float) -> None:
+        """Come to the window of now; the previous count is the last total told of that name."""
+        window = int(now // self.window_ms)
+        if window != self.window:
+            self.previous = self.current if window == self.window + 1 else 0.0
+            self.window, self.current, self.debt = window, 0.0, 0.0
+
+    def told(self, call: Call, total: float) -> None:
+        if call.window == self.window:
+            self.current = total
+        elif call.window == self.window - 1:
+            self.previous = total
+
+    def estimate(self, now: float) -> float:
+        remaining = self.window_ms - now % self.window_ms
+        return self.current + self.previous * remaining / self.window_ms
+
+    def allowance(self) -> float:
+        return self.plan.rate * self.window_ms + self.plan.burst
+
+    def name(self, customer: Customer) -> int:
+        """The same at every gateway and after a restart, and apart for each window."""
+        return (customer.key * 0x9E3779B97F4A7C15 + self.window * 0xBF58476D1CE4E5B9) % 2**63
+
+
+def window_ms(plan: Plan) -> float:
+    if plan.rate <= 0:
+        return LONGEST_NAME_MS / NAMES_LAST
+    return min(LONGEST_NAME_MS / NAMES_LAST, max(1000.0, WINDOW_OF_BURST * plan.burst / plan.rate))
+
+
+class Health:
+    """What this gateway knows of one host from its own forwards."""
+
+    def __init__(self, now: float) -> None:
+        self.state, self.failures, self.until = "trusted", 0, 0.0
+        self.outs: dict[Forward, None] = {}
+        self.pace = Ring(4000.0)  # answer times, and the forwards they shared the host with
+        self.answered_at = now
+        self.last_sent_at = -LONGEST_NAME_MS
+        self.let_back_at: float | None = None
+
+
+class Fleet:
+    """The hosts: which are fit, which cold, and which one gets a task."""
+
+    def __init__(self, now: float, seed: int, number: int, gateways: int, cold: Cold, log) -> None:
+        self.now, self.seed, self.draws = now, seed, 0
+        self.number, self.gateways, self.cold, self.log = number, max(1, gateways), cold, log
+        self.known: dict[Host, None] = {}
+        self.ready: list[Host] = []
+        self.pace = Ring(4000.0)  # answer times and answers, over all hosts
+        self.load = Ring(4000.0)  # the same times, and the forwards they shared a host with
+        self.sends = Ring(5000.0)  # first and further forwards
+
+    def roster(self, sightings: list[Sighting], whole: bool) -> None:
+        if whole:
+            for host in self.known:
+                host.status = Status.GONE
+        for seen in sightings:
+            host = seen.host
+            if host.health is None or seen.started_at > host.started_at:
+                host.health = Health(self.now)  # new, or restarted: what was known of it is void
+            host.size, host.make, host.zone, host.cell = seen.size, seen.make, seen.zone, seen.cell
+            host.started_at, host.status = seen.started_at, seen.status
+            self.known[host] = None
+        self.ready = [host for host in self.known if host.status is Status.READY]
+
+    def chance(self, sides: int) -> int:
+        self.draws += 1
+        return zlib.crc32(b"%d/%d" % (self.seed, self.draws)) % sides
+
+    def mean_answer(self, quoted_ms: float) -> float:
+        took, answers = self.pace.sums(self.now)
+        return (took + FIRST_GUESS * quoted_ms * GUESS_WEIGHT) / (answers + GUESS_WEIGHT)
+
+    def expected(self, host: Host, quoted_ms: float) -> float:
+        """When an answer may come: this host's pace by its own answers, times this gateway's forwards."""
+        took, shared = self.load.sums(self.now)
+        fleet = (took + FIRST_GUESS * quoted_ms * GUESS_WEIGHT) / (shared + GUESS_WEIGHT)
+        took, shared = host.health.pace.sums(self.now)
+        return (took + fleet * GUESS_WEIGHT) / (shared + GUESS_WEIGHT) * (len(host.health.outs) + 1)
+
+    def warmth(self, host: Host) -> float:
+        """The part of its capacity that a host is proved to have by its age."""
+        if not host.started_at or self.cold.warm_after_ms <= 0:
+            return 1.0
+        age = max(0.0, self.now - host.started_at) / self.cold.warm_after_ms
+        return min(1.0, self.cold.start_share + (1.0 - self.cold.start_share) * age)
+
+    def bears(self, host: Host) -> bool:
+        """Guards against pushing over a cold host, whatever made it start: gateways take turns at it by
+        their number, and each sends in its turn what the part proved by age would get of a warm host's
+        share. Where no host is warm, one forward at a time each."""
+        part = self.warmth(host)
+        if part >= 1.0:
+            return True
+        if host.health.outs:
+            return False
+        warm = sum(1 for other in self.ready if self.warmth(other) >= 1.0)
+        if not warm:
+            return True
+        if int(self.now // self.cold.tip_after_ms) % self.gateways != self.number:
+            return False
+        first, further = self.sends.sums(self.now)
+        mean = (first + further) / 5000.0 / warm
+        return (self.now - host.health.last_sent_at) * part * mean * self.gateways >= 1.0
+
+    def silent(self, host: Host, quoted_ms: float) -> bool:
+        """Guards against hosts that take tasks and answer none, and machines that vanish unheard."""
+        health = host.health
+        if not health.outs:
+            return False
+        since = max(health.answered_at, next(iter(health.outs)).sent_at)
+        return self.now - since > SILENT_AFTER * self.mean_answer(quoted_ms)
+
+    def fit(self, host: Host, task: Task) -> bool:
+        health = host.health
+        if health.state == "aside":
+            # One trial lets a host back; never with a task that could not be sent again.
+            return self.now >= health.until and task.product.kind is not Kind.ONE_SHOT
+        return health.state == "trusted" and not self.silent(host, task.product.quoted_ms)
+
+    def pick(self, task: Task, allowed: list[Host]) -> Host | None:
+        """Of two drawn at random, the one this gateway's own counts favour."""
+        bearing = [host for host in allowed if self.bears(host)]
+        fit = [host for host in bearing if self.fit(host, task)]
+        if 2 * len(fit) < len(bearing):
+            fit = bearing  # most look bad at once: the cause is shared, and the verdicts do not count
+        if not fit:
+            return None
+        first = fit.pop(self.chance(len(fit)))
+        if not fit:
+            return first
+        second = fit[self.chance(len(fit))]
+        quoted = task.product.quoted_ms
+        return second if self.expected(second, quoted) < self.expected(first, quoted) else first
+
+    def sent(self, forward: Forward) -> None:
+        health = forward.host.health
+        advance(HOST, health, "quarantine over", self)
+        health.outs[forward] = None
+        health.last_sent_at = self.now
+        self.sends.add(self.now, *((1.0, 0.0) if len(forward.task.forwards) == 1 else (0.0, 1.0)))
+
+    def ended(self, forward: Forward, took_ms: float) -> None:
+        health = forward.host.health
+        health.outs.pop(forward, None)
+        if forward.ending in (Ending.MOOT, Ending.WITHDRAWN):
+            return
+        answered = forward.ending in (Ending.DONE, Ending.ERROR, Ending.FULL)
+        if answered:
+            health.answered_at = self.now
+        if forward.ending in (Ending.DONE, Ending.TIMEOUT):
+            shared = forward.queue_at_send + 1.0
+            health.pace.add(self.now, took_ms, shared)
+            self.load.add(self.now, took_ms, shared)
+            self.pace.add(self.now, took_ms, 1.0)
+        before = health.state
+        good = forward.ending in (Ending.DONE, Ending.FULL)
+        advance(HOST, health, "answered" if good else "failed", self)
+        if health.state != before:
+            self.log(f"host {before} to {health.state}: {health.failures} failures, {len(health.outs)} out")
+
+    def tally(self, health: Health) -> str | None:
+        health.failures += 1
+        return "tripped" if health.failures >= HOST_FAILURES else None
+
+    def set_aside(self, health: Health) -> None:
+        health.until = self.now + ASIDE_MS
+
+    def clear(self, health: Health) -> None:
+        health.failures = 0
+
+    def let_back(self, health: Health) -> None:
+        health.failures, health.let_back_at = 0, self.now
+
+    def spare(self) -> bool:
+        """Guards against a storm of further forwards on a fleet that is slow as a whole."""
+        first, further = self.sends.sums(self.now)
+        return further < SPARE_FORWARDS * first + SPARE_AT_LEAST
+
+
+class Gateway:
+    """One api gateway: every task's way from its taking to its one final answer."""
+
+    def __init__(
+        self,
+        door: Door,
+        now: float,
+        seed: int,
+        number: int,
+        gateways: int,
+        plans: list[Plan],
+        leave: Leave,
+        cold: Cold,
+        has_counter: bool,
+    ) -> None:
+        self.door, self.now, self.leave, self.has_counter = door, now, leave, has_counter
+        self.breaker = Breaker(door.log)
+        self.fleet = Fleet(now, seed, number, gateways, cold, door.log)
+        self.books: dict[Customer, None] = {}  # the longest untouched first
+
+    # Inputs.
+
+    def roster(self, sightings: list[Sighting], whole: bool) -> None:
+        self.fleet.now = self.now
+        self.fleet.roster(sightings, whole)
+
+    def take(self, task: Task) -> None:
+        self.fleet.now = self.now
+        self.book(task).turn(self.now)
+        advance(TASK, task, "arrived", self)
+
+    def counted(self, call: Call, ending: Ending, total: float) -> None:
+        self.fleet.now = self.now
+        book, task = call.customer.book, call.task
+        call.answered = True
+        if book is not None:
+            book.turn(self.now)
+            if ending is Ending.DONE:
+                book.told(call, total)
+            elif call.amount < 0 and ending is not Ending.TIMEOUT and call.window == book.window:
+                book.debt -= call.amount
+        if task is None:
+            return
+        landed = ending is Ending.DONE
+        if call.overdue:
+            # Late: decided without it. Units of a task that never went out go back, others stay.
+            if landed and task.state == "over" and not task.forwards:
+                self.repay(call)
+            return
+        self.breaker.tell("succeeded" if landed else "failed", self.now)
+        if not landed:
+            advance(TASK, task, "unanswered", self)
+        elif book.estimate(self.now) > book.allowance():
+            advance(TASK, task, "over", self)
+        elif task.state == "counting":
+            advance(TASK, task, "within", self)
+        else:
+            self.repay(call)
+
+    def ended(
+        self, forward: Forward, ending: Ending, took_ms: float, final: bool, units: float, used: int
+    ) -> None:
+        self.fleet.now = self.now
+        task = forward.task
+        forward.ending = ending
+        task.out -= 1
+        self.fleet.ended(forward, took_ms)
+        book = task.customer.book
+        if book is not None:
+            book.out -= 1
+        if ending is Ending.DONE and units > 0 and not task.surplus:
+            self.settle(task, units - task.units)
+        advance(TASK, task, "served" if final else "lost", self)
+
+    def started(self, forward: Forward) -> None:
+        advance(TASK, forward.task, "flowing", self)
+
+    def client_gone(self, task: Task) -> None:
+        advance(TASK, task, "client gone", self)
+
+    def woke(self, call: Call) -> None:
+        """The budget of a call is up."""
+        self.fleet.now = self.now
+        if not call.answered and not call.overdue:
+            call.overdue = True
+            self.breaker.tell("failed", self.now)
+            advance(TASK, call.task, "unanswered", self)
+
+    def probed(self, host: Host, ending: Ending, took_ms: float, load: list) -> None:
+        """No decision rests on probes."""
+
+    # Effects of the quota path.
+
+    def ask(self, task: Task) -> str | None:
+        book, plan = task.customer.book, task.plan
+        if plan.most_out and book.out >= max(1, plan.most_out // book.spread):
+            return "over"
+        if plan.rate <= 0:
+            return "within"
+        if not self.has_counter or not self.breaker.lets_call(self.now):
+            return "unanswered"
+        amount, book.debt = task.units - book.debt, 0.0
+        task.call = self.call(task.customer, amount)
+        task.call.task = task
+        self.door.wake(max(0.0, min(BUDGET_MS, (task.cutoff_at - self.now) / 2)), task.call)
+        return None
+
+    def emergency(self, task: Task) -> str:
+        book = task.customer.book
+        if book.local.room(self.now) < task.units:
+            return "over"
+        book.local.level -= task.units
+        return "within"
+
+    def beyond(self, task: Task) -> str:
+        self.refund(task)
+        if task.plan.over_benefit <= task.plan.over_cost:
+            return "nowhere"
+        task.surplus = True
+        return self.place(task)
+
+    def refund(self, task: Task) -> None:
+        call = task.call
+        if call is not None and call.answered and not call.overdue:
+            self.repay(call)
+
+    def repay(self, call: Call) -> None:
+        self.settle(call.task, -call.task.units)
+
+    def settle(self, task: Task, units: float) -> None:
+        """Add to the name the task was counted under; while calls are barred it rides on the next add."""
+        book = task.customer.book
+        if task.call is None or book is None or task.call.window != book.window or not units:
+            return
+        if self.breaker.state == "closed":
+            self.call(task.customer, units)
+        else:
+            book.debt -= units
+
+    def call(self, customer: Customer, amount: float) -> Call:
+        book = customer.book
+        life = min(LONGEST_NAME_MS, NAMES_LAST * book.window_ms)
+        call = Call(customer, book.name(customer), book.window, amount, life)
+        self.door.count(call)
+        return call
+
+    def book(self, task: Task) -> Book:
+        """The customer's book; those untouched for as long as any name lasts are dropped, so that a flood
+        of customers seen once cannot fill the memory."""
+        customer = task.customer
+        if customer.book is None:
+            customer.book = Book(task.plan, task.spread, self.now)
+        self.books.pop(customer, None)
+        self.books[customer] = None
+        customer.book.touched_at = self.now
+        oldest = next(iter(self.books))
+        if self.now - oldest.book.touched_at > LONGEST_NAME_MS and not oldest.book.out:
+            del self.books[oldest]
+            oldest.book = None
+        return customer.book
+
+    # Effects of the way to a host.
+
+    def place(self, task: Task) -> str:
+        book, quoted_left = task.customer.book, task.taken_at + task.product.quoted_ms - self.now
+        if task.out or not self.may_forward(task):
+            return "nowhere"
+        host = self.fleet.pick(task, self.allowed(task))
+        if host is None:
+            return "nowhere"
+        expected = self.fleet.expected(host, task.product.quoted_ms)
+        limit = TOO_LATE_BEYOND if task.surplus else TOO_LATE
+        if expected > limit * quoted_left:
+            return "nowhere"  # guards against queues in which every answer comes too late
+        if not task.forwards and book.ceiling is not None:
+            if book.ceiling.room(self.now) < task.units:
+                return "nowhere"
+            book.ceiling.level -= task.units
+        forward = Forward(task, host, self.now, len(host.health.outs))
+        task.forwards.append(forward)
+        task.out += 1
+        book.out += 1
+        self.fleet.sent(forward)
+        self.door.forward(forward, self.stop_at(task, quoted_left))
+        return "sent"
+
+    def stop_at(self, task: Task, quoted_left: float) -> float | None:
+        """Where the task may be sent again, leave time for that before the quoted time."""
+        if MAY_HAVE_RUN[task.product.kind][0] == "no" or task.product.stream:
+            return None
+        mean = self.fleet.mean_answer(task.product.quoted_ms)
+        patience = PATIENCE * mean
+        if patience + mean > quoted_left or len(task.forwards) >= self.leave.most_forwards:
+            return None
+        return min(task.cutoff_at, self.now + patience)
+
+    def may_forward(self, task: Task) -> bool:
+        if not task.forwards:
+            return True
+        if len(task.forwards) >= self.leave.most_forwards or not self.fleet.spare():
+            return False
+        return self.may_have_run(task) is None or MAY_HAVE_RUN[task.product.kind][0] != "no"
+
+    def may_have_run(self, task: Task) -> Forward | None:
+        """The first forward that is not proved never to have run."""
+        return next((f for f in task.forwards if f.ending not in NEVER_RAN), None)
+
+    def allowed(self, task: Task) -> list[Host]:
+        """The ready hosts that may get the task; not one that it failed at, where there are others."""
+        hosts, ran = self.fleet.ready, self.may_have_run(task)
+        if ran is not None and MAY_HAVE_RUN[task.product.kind][0] == "group":
+            if self.now - ran.sent_at >= task.product.group_ms:
+                return []
+            hosts = [host for host in hosts if same_group(task.product.group, host, ran.host)]
+        tried = [forward.host for forward in task.forwards]
+        return [host for host in hosts if host not in tried] or hosts
+
+    def give_up(self, task: Task) -> None:
+        """The one final answer, at once: a deferral where trying again is proved harmless."""
+        ran = self.may_have_run(task)
+        if not task.forwards:
+            self.refund(task)
+        right = "yes" if ran is None else MAY_HAVE_RUN[task.product.kind][1]
+        if right == "whole group" and task.product.group is Group.ALL:
+            right = "yes" if self.now - ran.sent_at < task.product.group_ms else "no"
+        if right != "yes":
+            self.door.error(task)
+            return
+        self.door.defer(task, self.come_back_ms(task) if self.leave.retry_after else None)
+
+    def come_back_ms(self, task: Task) -> float:
+        book, plan = task.customer.book, task.plan
+        wait = self.fleet.mean_answer(task.product.quoted_ms)
+        if plan.rate > 0:
+            wait = max(wait, (book.estimate(self.now) + task.units - book.allowance()) / plan.rate)
+        if book.ceiling is not None and not task.forwards:
+            wait = max(wait, book.ceiling.wait_ms(task.units, self.now))
+        return min(wait, self.leave.most_retry_after_ms)
+
+
+def same_group(group: Group, host: Host, other: Host) -> bool:
+    return group is Group.ALL or (host.zone if group is Group.ZONE else host.cell) == (
+        other.zone if group is Group.ZONE else other.cell
+    )
--- /dev/null
+++ b/granitedock/policy/interface.py
@@ -0,0 +1,191 @@
+"""The types between the decisions and whatever carries them, and the door's protocol.
+
+A carrier (the bench's adapter today, a service on sockets later) makes one `Gateway` of
+`granitedock.policy.decisions` per api gateway, calls its methods with these objects, and does what
+the gateway asks of its `Door`. Times are milliseconds with fractions, rates are per millisecond.
+Objects point to each other; ids are the carrier's own affair.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, Protocol
+
+
+class Kind(Enum):
+    """What a repeat of a product's task does."""
+
+    HARMLESS = "harmless"
+    STAMPED = "stamped"
+    ONE_SHOT = "one-shot"
+
+
+class Group(Enum):
+    """The hosts that drop repeats of a stamped task."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Ending(Enum):
+    """How a forward, a probe or a call to the counter ended."""
+
+    DONE = "done"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    UNREACHED = "unreached"
+    RESET = "reset"
+    WITHDRAWN = "withdrawn"
+    MOOT = "moot"
+
+
+class Status(Enum):
+    """What the roster says of a host."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+@dataclass(frozen=True, slots=True)
+class Product:
+    name: str
+    kind: Kind
+    group: Group
+    group_ms: float
+    quoted_ms: float
+    cutoff_ms: float
+    benefit: float
+    late_benefit: float
+    stream: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    name: str
+    rate: float
+    burst: float
+    most_out: int
+    benefit_factor: float
+    over_benefit: float
+    over_cost: float
+    ceiling_rate: float
+    ceiling_burst: float
+    ceiling_slack: float
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """What the deployment allows a gateway to do."""
+
+    most_forwards: int
+    second_copies: bool
+    withdraw: bool
+    probes: bool
+    retry_after: bool
+    most_retry_after_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Cold:
+    """What is known of a host that has just started, and what pushes it over."""
+
+    start_share: float
+    warm_after_ms: float
+    overload_factor: float
+    tip_after_ms: float
+
+
+@dataclass(eq=False, slots=True)
+class Host:
+    size: float = 1.0
+    make: str = ""
+    zone: str = ""
+    cell: int = 0
+    started_at: float = 0.0
+    status: Status = Status.READY
+    health: Any = None  # the decisions' own notes on this host
+
+
+@dataclass(eq=False)
+class Customer:
+    key: int
+    book: Any = None  # the decisions' own notes on this customer
+
+
+@dataclass(eq=False, slots=True)
+class Task:
+    product: Product
+    plan: Plan
+    customer: Customer
+    taken_at: float
+    cutoff_at: float
+    units: float
+    spread: int
+    state: str = "new"
+    forwards: list[Forward] = field(default_factory=list)
+    out: int = 0
+    call: Call | None = None
+    surplus: bool = False
+
+
+@dataclass(eq=False, slots=True)
+class Forward:
+    """One sending of a task to a host; it stands in the task's list at its own number."""
+
+    task: Task
+    host: Host
+    sent_at: float
+    queue_at_send: int
+    ending: Ending | None = None
+
+
+@dataclass(eq=False, slots=True)
+class Call:
+    """One add to a named count."""
+
+    customer: Customer
+    name: int
+    window: int
+    amount: float
+    life_ms: float
+    task: Task | None = None
+    trial: bool = False
+    overdue: bool = False
+    answered: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Sighting:
+    """One line of the roster."""
+
+    host: Host
+    size: float
+    make: str
+    zone: str
+    cell: int
+    started_at: float
+    status: Status
+
+
+class Door(Protocol):
+    """What a gateway can do to the world."""
+
+    def forward(self, forward: Forward, stop_at: float | None) -> None: ...
+
+    def defer(self, task: Task, come_back_ms: float | None) -> None: ...
+
+    def error(self, task: Task) -> None: ...
+
+    def withdraw(self, forward: Forward) -> None: ...
+
+    def count(self, call: Call) -> None: ...
+
+    def wake(self, after_ms: float, why: object) -> None: ...
+
+    def probe(self, host: Host) -> None: ...
+
+    def log(self, line: str) -> None: ...
