No forward past the client's time; hurried clients prove nothing of a host

Cause: a retry with 28 ms left timed out at its cut-off and was sent again, four times moot, and the fifth answer came after the client's time. Now the time left counts to the nearer of quoted time and cut-off, and a time-out that had less than two mean answer times is no failure of the host.

--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -36,6 +36,7 @@
 HOST_FAILURES = 3  # in a row set a host aside
 ASIDE_MS = 3000.0  # before its trial
 SILENT_AFTER = 4.0  # mean answer times without a sign of life
+FAIR_TIME = 2.0  # mean answer times: a forward that had less and timed out proves nothing
 PATIENCE = 4.0  # mean answer times before a forward that can be made again is given up
 SPARE_FORWARDS = 0.15  # further forwards, as a part of first ones, and a few more
 SPARE_AT_LEAST = 3.0
@@ -86,6 +87,7 @@
     ("trusted", "answered"): ("trusted", "clear"),
     ("aside", "quarantine over"): ("on trial", None),
     ("aside", "answered"): ("trusted", "let_back"),
+    ("on trial", "unproved"): ("aside", None),
     ("on trial", "failed"): ("aside", "set_aside"),
     ("on trial", "answered"): ("trusted", "let_back"),
 }
@@ -334,19 +336,20 @@
     def ended(self, forward: Forward, took_ms: float) -> None:
         health = forward.host.health
         health.outs.pop(forward, None)
-        if forward.ending in (Ending.MOOT, Ending.WITHDRAWN):
-            return
-        answered = forward.ending in (Ending.DONE, Ending.ERROR, Ending.FULL)
-        if answered:
-            health.answered_at = self.now
-        if forward.ending in (Ending.DONE, Ending.TIMEOUT):
+        ending, before = forward.ending, health.state
+        signal = "answered" if ending in (Ending.DONE, Ending.FULL) else "failed"
+        if ending is Ending.TIMEOUT and took_ms < FAIR_TIME * self.mean_answer(forward.task.product.quoted_ms):
+            signal = "unproved"  # a client in a hurry says nothing of the host
+        elif ending in (Ending.MOOT, Ending.WITHDRAWN):
+            signal = "unproved"
+        elif ending in (Ending.DONE, Ending.TIMEOUT):
             shared = forward.queue_at_send + 1.0
             health.pace.add(self.now, took_ms, shared)
             self.load.add(self.now, took_ms, shared)
             self.pace.add(self.now, took_ms, 1.0)
-        before = health.state
-        good = forward.ending in (Ending.DONE, Ending.FULL)
-        advance(HOST, health, "answered" if good else "failed", self)
+        if ending in (Ending.DONE, Ending.ERROR, Ending.FULL):
+            health.answered_at = self.now
+        advance(HOST, health, signal, self)
         if health.state != before:
             self.log(f"host {before} to {health.state}: {health.failures} failures, {len(health.outs)} out")
 
@@ -533,7 +536,8 @@
     # Effects of the way to a host.
 
     def place(self, task: Task) -> str:
-        book, quoted_left = task.customer.book, task.taken_at + task.product.quoted_ms - self.now
+        book = task.customer.book
+        quoted_left = min(task.taken_at + task.product.quoted_ms, task.cutoff_at) - self.now
         if task.out or not self.may_forward(task):
             return "nowhere"
         host = self.fleet.pick(task, self.allowed(task))
