Hold the allowance over the spell too; give a refused task's units back only once

Two causes: the window lets a second burst through, and a refusal repaid its units twice (in 'beyond' and again in 'give up'), so that a customer far over its quota was forgiven what it used. The spell check acts when a customer takes more at once than its burst; it may hurt where calls answer out of step and hold others' units that are about to be repaid.

--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -31,6 +31,7 @@
 BREAKER_FAILURES = 5  # the design's breaker opens after so many failures in a row
 QUARANTINE_MS = 5000.0  # ... and lets one trial call through after this
 WINDOW_OF_BURST = 2.0  # a window is as long as the rate needs to fill the burst, this many times
+SPELL_SLACK = 0.5  # units a spell may pass the burst by, for the calls' own delays
 LONGEST_NAME_MS = 60000.0  # the counter keeps no name longer
 NAMES_LAST = 3.0  # windows: a name serves two, and one more for clocks that the calls straddle
 HOST_FAILURES = 3  # in a row set a host aside
@@ -175,6 +176,7 @@
         self.plan, self.spread = plan, max(1, spread)
         self.window_ms = window_ms(plan)
         self.window, self.current, self.previous = -1, 0.0, 0.0
+        self.spell, self.seen_at = 0.0, now  # units used in this spell beyond what the rate has paid
         self.debt = 0.0  # units owed back to the current name
         self.out = 0
         self.touched_at = now
@@ -195,9 +197,13 @@
             self.previous = self.current if window == self.window + 1 else 0.0
             self.window, self.current, self.debt = window, 0.0, 0.0
 
-    def told(self, call: Call, total: float) -> None:
+    def told(self, call: Call, total: float, now: float) -> None:
+        """Take in a total. What others added since the last one is taken as spread over the time between."""
         if call.window == self.window:
-            self.current = total
+            others = total - self.current - call.amount
+            paid = self.plan.rate * (now - self.seen_at)
+            self.spell = max(0.0, max(0.0, self.spell + others - paid) + call.amount)
+            self.current, self.seen_at = total, now
         elif call.window == self.window - 1:
             self.previous = total
 
@@ -208,6 +214,12 @@
     def allowance(self) -> float:
         return self.plan.rate * self.window_ms + self.plan.burst
 
+    def over(self, now: float) -> bool:
+        """The design's estimate against the allowance; and the same allowance over the spell since the
+        customer was last at rest. Guards against the second burst that a window of any length lets
+        through; acts whenever a customer uses more at once than its burst."""
+        return self.estimate(now) > self.allowance() or self.spell > self.plan.burst + SPELL_SLACK
+
     def name(self, customer: Customer) -> int:
         """The same at every gateway and after a restart, and apart for each window."""
         return (customer.key * 0x9E3779B97F4A7C15 + self.window * 0xBF58476D1CE4E5B9) % 2**63
@@ -410,7 +422,7 @@
         if book is not None:
             book.turn(self.now)
             if ending is Ending.DONE:
-                book.told(call, total)
+                book.told(call, total, self.now)
             elif call.amount < 0 and ending is not Ending.TIMEOUT and call.window == book.window:
                 book.debt -= call.amount
         if task is None:
@@ -424,7 +436,7 @@
         self.breaker.tell("succeeded" if landed else "failed", self.now)
         if not landed:
             advance(TASK, task, "unanswered", self)
-        elif book.estimate(self.now) > book.allowance():
+        elif book.over(self.now):
             advance(TASK, task, "over", self)
         elif task.state == "counting":
             advance(TASK, task, "within", self)
@@ -443,7 +455,7 @@
         if book is not None:
             book.out -= 1
         if ending is Ending.DONE and units > 0 and not task.surplus:
-            self.settle(task, units - task.units)
+            self.settle(task.call, units - task.units)
         advance(TASK, task, "served" if final else "lost", self)
 
     def started(self, forward: Forward) -> None:
@@ -496,18 +508,19 @@
     def refund(self, task: Task) -> None:
         call = task.call
         if call is not None and call.answered and not call.overdue:
+            task.call = None  # once only
             self.repay(call)
 
     def repay(self, call: Call) -> None:
-        self.settle(call.task, -call.task.units)
+        self.settle(call, -call.task.units)
 
-    def settle(self, task: Task, units: float) -> None:
+    def settle(self, call: Call | None, units: float) -> None:
         """Add to the name the task was counted under; while calls are barred it rides on the next add."""
-        book = task.customer.book
-        if task.call is None or book is None or task.call.window != book.window or not units:
+        book = call.customer.book if call is not None else None
+        if book is None or call.window != book.window or not units:
             return
         if self.breaker.state == "closed":
-            self.call(task.customer, units)
+            self.call(call.customer, units)
         else:
             book.debt -= units
 
@@ -608,6 +621,7 @@
         wait = self.fleet.mean_answer(task.product.quoted_ms)
         if plan.rate > 0:
             wait = max(wait, (book.estimate(self.now) + task.units - book.allowance()) / plan.rate)
+            wait = max(wait, (book.spell - plan.burst) / plan.rate)
         if book.ceiling is not None and not task.forwards:
             wait = max(wait, book.ceiling.wait_ms(task.units, self.now))
         return min(wait, self.leave.most_retry_after_ms)
