--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -350,7 +350,9 @@
         health.outs.pop(forward, None)
         ending, before = forward.ending, health.state
         signal = "answered" if ending in (Ending.DONE, Ending.FULL) else "failed"
-        if ending is Ending.TIMEOUT and took_ms < FAIR_TIME * self.mean_answer(forward.task.product.quoted_ms):
+        if ending is Ending.TIMEOUT and took_ms < FAIR_TIME * self.mean_answer(
+            forward.task.product.quoted_ms
+        ):
             signal = "unproved"  # a client in a hurry says nothing of the host
         elif ending in (Ending.MOOT, Ending.WITHDRAWN):
             signal = "unproved"
