Begin nothing expected past half the quoted time, but always one at a host

Cause: under load the queue stood at the quoted time itself, so that a third of the answers came late, and an old estimate could shut a whole idle fleet. Now a task is begun only where an answer is expected within half of the time left, and a host without a forward of ours is always tried, which keeps the estimate fresh. It should also hold against slow hosts and bursts; it may hurt where answers vary widely.

--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -43,8 +43,8 @@
 SPARE_AT_LEAST = 3.0
 FIRST_GUESS = 0.12  # of the quoted time: an answer's time before any was seen
 GUESS_WEIGHT = 3.0  # answers that the guess, or the fleet's mean for one host, counts as
-TOO_LATE = 1.0  # of the time left to the quoted time: an expected answer later than this is not begun
-TOO_LATE_BEYOND = 0.4  # the same for tasks beyond the quota, which only get room that is spare
+TOO_LATE = 0.5  # of the time left to the quoted time: an expected answer later than this is not begun
+TOO_LATE_BEYOND = 0.25  # the same for tasks beyond the quota, which only get room that is spare
 
 # A task: state and input give the next state and the effect, whose result is the next input.
 TASK = {
@@ -560,7 +560,7 @@
             return "nowhere"
         expected = self.fleet.expected(host, task.product.quoted_ms)
         limit = TOO_LATE_BEYOND if task.surplus else TOO_LATE
-        if expected > limit * quoted_left:
+        if expected > limit * quoted_left and (host.health.outs or quoted_left <= 0):
             return "nowhere"  # guards against queues in which every answer comes too late
         if not task.forwards and book.ceiling is not None:
             if book.ceiling.room(self.now) < task.units:
