Withdraw a forward only from a host that answered nothing since

Cause: time-outs at four mean answer times hit long but healthy tasks, the dearest ones, and their copies added work. A forward is now looked at after three mean answer times (longer for larger tasks) and withdrawn only where its host has been silent since; it meets hangs, vanished machines and cut links alike, and may hurt where a host works on one long task at a time.

--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -10,22 +10,8 @@
 
 import zlib
 
-from granitedock.policy.interface import (
-    Call,
-    Cold,
-    Customer,
-    Door,
-    Ending,
-    Forward,
-    Group,
-    Host,
-    Kind,
-    Leave,
-    Plan,
-    Sighting,
-    Status,
-    Task,
-)
+from granitedock.policy.interface import Call, Cold, Customer, Door, Ending, Forward, Group, Host, Kind
+from granitedock.policy.interface import Leave, Plan, Sighting, Status, Task
 
 BUDGET_MS = 20.0  # the design's budget of a call to the counter
 BREAKER_FAILURES = 5  # the design's breaker opens after so many failures in a row
@@ -38,10 +24,10 @@
 ASIDE_MS = 3000.0  # before its trial
 SILENT_AFTER = 4.0  # mean answer times without a sign of life
 FAIR_TIME = 2.0  # mean answer times: a forward that had less and timed out proves nothing
-PATIENCE = 4.0  # mean answer times before a forward that can be made again is given up
+PATIENCE = 3.0  # mean answer times before a forward at a silent host is withdrawn to be made again
 SPARE_FORWARDS = 0.15  # further forwards, as a part of first ones, and a few more
 SPARE_AT_LEAST = 3.0
-FIRST_GUESS = 0.12  # of the quoted time: an answer's time before any was seen
+FIRST_GUESS = 0.2  # of the quoted time: an answer's time before any was seen
 GUESS_WEIGHT = 3.0  # answers that the guess, or the fleet's mean for one host, counts as
 TOO_LATE = 0.5  # of the time left to the quoted time: an expected answer later than this is not begun
 TOO_LATE_BEYOND = 0.25  # the same for tasks beyond the quota, which only get room that is spare
@@ -57,6 +43,7 @@
     ("placing", "nowhere"): ("over", "give_up"),
     ("out", "served"): ("over", None),
     ("out", "lost"): ("placing", "place"),
+    ("out", "stuck"): ("out", "pull"),
     ("out", "client gone"): ("over", None),
     ("out", "flowing"): ("flowing", None),
     ("flowing", "served"): ("over", None),
@@ -254,6 +241,7 @@
         self.pace = Ring(4000.0)  # answer times and answers, over all hosts
         self.load = Ring(4000.0)  # the same times, and the forwards they shared a host with
         self.sends = Ring(5000.0)  # first and further forwards
+        self.units = Ring(5000.0)  # units of first forwards, and their number
 
     def roster(self, sightings: list[Sighting], whole: bool) -> None:
         if whole:
@@ -343,6 +331,7 @@
         advance(HOST, health, "quarantine over", self)
         health.outs[forward] = None
         health.last_sent_at = self.now
+        self.units.add(self.now, forward.task.units, 1.0)
         self.sends.add(self.now, *((1.0, 0.0) if len(forward.task.forwards) == 1 else (0.0, 1.0)))
 
     def ended(self, forward: Forward, took_ms: float) -> None:
@@ -354,9 +343,9 @@
             forward.task.product.quoted_ms
         ):
             signal = "unproved"  # a client in a hurry says nothing of the host
-        elif ending in (Ending.MOOT, Ending.WITHDRAWN):
+        elif ending is Ending.MOOT:
             signal = "unproved"
-        elif ending in (Ending.DONE, Ending.TIMEOUT):
+        elif ending in (Ending.DONE, Ending.TIMEOUT, Ending.WITHDRAWN):
             shared = forward.queue_at_send + 1.0
             health.pace.add(self.now, took_ms, shared)
             self.load.add(self.now, took_ms, shared)
@@ -380,6 +369,10 @@
     def let_back(self, health: Health) -> None:
         health.failures, health.let_back_at = 0, self.now
 
+    def mean_units(self) -> float:
+        units, tasks = self.units.sums(self.now)
+        return (units + 1.0) / (tasks + 1.0)
+
     def spare(self) -> bool:
         """Guards against a storm of further forwards on a fleet that is slow as a whole."""
         first, further = self.sends.sums(self.now)
@@ -466,9 +459,14 @@
     def client_gone(self, task: Task) -> None:
         advance(TASK, task, "client gone", self)
 
-    def woke(self, call: Call) -> None:
-        """The budget of a call is up."""
+    def woke(self, why: Call | Forward) -> None:
+        """The budget of a call is up, or a forward has been out for long."""
         self.fleet.now = self.now
+        if isinstance(why, Forward):
+            if why.ending is None:
+                advance(TASK, why.task, "stuck", self)
+            return
+        call = why
         if not call.answered and not call.overdue:
             call.overdue = True
             self.breaker.tell("failed", self.now)
@@ -571,18 +569,30 @@
         task.out += 1
         book.out += 1
         self.fleet.sent(forward)
-        self.door.forward(forward, self.stop_at(task, quoted_left))
+        self.door.forward(forward, None)
+        self.watch(forward)
         return "sent"
 
-    def stop_at(self, task: Task, quoted_left: float) -> float | None:
-        """Where the task may be sent again, leave time for that before the quoted time."""
-        if MAY_HAVE_RUN[task.product.kind][0] == "no" or task.product.stream:
-            return None
+    def watch(self, forward: Forward) -> None:
+        """Look again at a forward that could be made anew, while there is time for that before the
+        quoted time. A larger task is given longer."""
+        task = forward.task
+        if MAY_HAVE_RUN[task.product.kind][0] == "no" or not self.leave.withdraw:
+            return
         mean = self.fleet.mean_answer(task.product.quoted_ms)
-        patience = PATIENCE * mean
-        if patience + mean > quoted_left or len(task.forwards) >= self.leave.most_forwards:
-            return None
-        return min(task.cutoff_at, self.now + patience)
+        patience = PATIENCE * mean * max(1.0, task.units / self.fleet.mean_units())
+        if self.now + patience + mean < task.taken_at + task.product.quoted_ms:
+            self.door.wake(patience, forward)
+
+    def pull(self, task: Task) -> None:
+        """Guards against hosts that hang or vanish: where a host has answered nothing since it got the
+        task, the forward is withdrawn, and its ending sends the task elsewhere. One at a host that
+        answers others is only slow, and a copy would only add to the work."""
+        forward = task.forwards[-1]
+        if forward.host.health.answered_at > forward.sent_at:
+            self.watch(forward)
+        elif len(task.forwards) < self.leave.most_forwards and self.fleet.spare():
+            self.door.withdraw(forward)
 
     def may_forward(self, task: Task) -> bool:
         if not task.forwards:
