--- a/granitedock/benchlink/pipe.py
+++ b/granitedock/benchlink/pipe.py
@@ -76,7 +76,7 @@
             seed,
             int(born["Me"]),
             int(born["Balancers"]),
-            list(self.plans.values()),
+            min(product.quoted_ms for product in self.products.values()),
             birth.leave(born),
             birth.cold(born),
             birth.has_counter(born),
--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -389,12 +389,13 @@
         seed: int,
         number: int,
         gateways: int,
-        plans: list[Plan],
+        haste_ms: float,
         leave: Leave,
         cold: Cold,
         has_counter: bool,
     ) -> None:
         self.door, self.now, self.leave, self.has_counter = door, now, leave, has_counter
+        self.haste_ms = haste_ms  # the shortest quoted time of all products
         self.breaker = Breaker(door.log)
         self.fleet = Fleet(now, seed, number, gateways, cold, door.log)
         self.books: dict[Customer, None] = {}  # the longest untouched first
@@ -557,9 +558,11 @@
         if host is None:
             return "nowhere"
         expected = self.fleet.expected(host, task.product.quoted_ms)
-        limit = TOO_LATE_BEYOND if task.surplus else TOO_LATE
-        if expected > limit * quoted_left and (host.health.outs or quoted_left <= 0):
-            return "nowhere"  # guards against queues in which every answer comes too late
+        limit = (TOO_LATE_BEYOND if task.surplus else TOO_LATE) * min(quoted_left, self.haste_ms)
+        if expected > limit and (host.health.outs or quoted_left <= 0):
+            # Guards against queues in which every answer comes too late, and hosts overdriven by them:
+            # all products share a host's queue, so it is kept short enough for the one in most haste.
+            return "nowhere"
         if not task.forwards and book.ceiling is not None:
             if book.ceiling.room(self.now) < task.units:
                 return "nowhere"
