Answer times by product and units, and one queue limit for all products

Cause: long products' answer times passed for a queue, and each product had its own limit on a shared queue. Sizes (mean answer time of product and units against all, over the same 20 s) now divide answer times.

--- a/granitedock/benchlink/pipe.py
+++ b/granitedock/benchlink/pipe.py
@@ -76,7 +76,7 @@
             seed,
             int(born["Me"]),
             int(born["Balancers"]),
-            min(product.quoted_ms for product in self.products.values()),
+            list(self.products.values()),
             birth.leave(born),
             birth.cold(born),
             birth.has_counter(born),
--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -11,7 +11,7 @@
 import zlib
 
 from granitedock.policy.interface import Call, Cold, Customer, Door, Ending, Forward, Group, Host, Kind
-from granitedock.policy.interface import Leave, Plan, Sighting, Status, Task
+from granitedock.policy.interface import Leave, Plan, Product, Sighting, Status, Task
 
 BUDGET_MS = 20.0  # the design's budget of a call to the counter
 BREAKER_FAILURES = 5  # the design's breaker opens after so many failures in a row
@@ -29,7 +29,7 @@
 SPARE_AT_LEAST = 3.0
 FIRST_GUESS = 0.2  # of the quoted time: an answer's time before any was seen
 GUESS_WEIGHT = 3.0  # answers that the guess, or the fleet's mean for one host, counts as
-TOO_LATE = 0.5  # of the time left to the quoted time: an expected answer later than this is not begun
+TOO_LATE = 0.5  # of the quoted time: where a mean task's answer is expected later, none is begun
 TOO_LATE_BEYOND = 0.25  # the same for tasks beyond the quota, which only get room that is spare
 
 # A task: state and input give the next state and the effect, whose result is the next input.
@@ -233,15 +233,19 @@
 class Fleet:
     """The hosts: which are fit, which cold, and which one gets a task."""
 
-    def __init__(self, now: float, seed: int, number: int, gateways: int, cold: Cold, log) -> None:
+    def __init__(
+        self, now: float, seed: int, number: int, gateways: int, products: list[Product], cold: Cold, log
+    ) -> None:
         self.now, self.seed, self.draws = now, seed, 0
         self.number, self.gateways, self.cold, self.log = number, max(1, gateways), cold, log
         self.known: dict[Host, None] = {}
         self.ready: list[Host] = []
-        self.pace = Ring(4000.0)  # answer times and answers, over all hosts
+        self.products = products
+        self.guess_ms = FIRST_GUESS * min(product.quoted_ms for product in products)
+        self.pace = Ring(4000.0)  # answer times of tasks made mean ones, and answers, over all hosts
         self.load = Ring(4000.0)  # the same times, and the forwards they shared a host with
         self.sends = Ring(5000.0)  # first and further forwards
-        self.units = Ring(5000.0)  # units of first forwards, and their number
+        self.sizes: dict[tuple, Ring] = {}  # answer times and answers, by a trait of the tasks
 
     def roster(self, sightings: list[Sighting], whole: bool) -> None:
         if whole:
@@ -260,17 +264,30 @@
         self.draws += 1
         return zlib.crc32(b"%d/%d" % (self.seed, self.draws)) % sides
 
-    def mean_answer(self, quoted_ms: float) -> float:
+    def size(self, *trait) -> float:
+        """How long tasks with this trait take, in mean tasks: by product, or by product and units."""
+        own, every = (
+            self.sizes[key].sums(self.now) if key in self.sizes else (0.0, 0.0) for key in (trait, ())
+        )
+        mean = (every[0] + self.guess_ms) / (every[1] + 1.0)
+        return (own[0] + mean * GUESS_WEIGHT) / (own[1] + GUESS_WEIGHT) / mean
+
+    def mean_answer(self) -> float:
         took, answers = self.pace.sums(self.now)
-        return (took + FIRST_GUESS * quoted_ms * GUESS_WEIGHT) / (answers + GUESS_WEIGHT)
+        return (took + self.guess_ms * GUESS_WEIGHT) / (answers + GUESS_WEIGHT)
 
-    def expected(self, host: Host, quoted_ms: float) -> float:
-        """When an answer may come: this host's pace by its own answers, times this gateway's forwards."""
+    def expected(self, host: Host) -> float:
+        """When a mean task may be answered: this host's pace by its own answers, times our forwards."""
         took, shared = self.load.sums(self.now)
-        fleet = (took + FIRST_GUESS * quoted_ms * GUESS_WEIGHT) / (shared + GUESS_WEIGHT)
+        fleet = (took + self.guess_ms * GUESS_WEIGHT) / (shared + GUESS_WEIGHT)
         took, shared = host.health.pace.sums(self.now)
         return (took + fleet * GUESS_WEIGHT) / (shared + GUESS_WEIGHT) * (len(host.health.outs) + 1)
 
+    def longest_queue(self, part: float) -> float:
+        """Guards against queues in which every answer comes too late, and hosts overdriven by them. All
+        products share a host, so it may be as slow as the product in most haste for its size bears."""
+        return min(part * product.quoted_ms / self.size(product) for product in self.products)
+
     def warmth(self, host: Host) -> float:
         """The part of its capacity that a host is proved to have by its age."""
         if not host.started_at or self.cold.warm_after_ms <= 0:
@@ -296,20 +313,20 @@
         mean = (first + further) / 5000.0 / warm
         return (self.now - host.health.last_sent_at) * part * mean * self.gateways >= 1.0
 
-    def silent(self, host: Host, quoted_ms: float) -> bool:
+    def silent(self, host: Host) -> bool:
         """Guards against hosts that take tasks and answer none, and machines that vanish unheard."""
         health = host.health
         if not health.outs:
             return False
         since = max(health.answered_at, next(iter(health.outs)).sent_at)
-        return self.now - since > SILENT_AFTER * self.mean_answer(quoted_ms)
+        return self.now - since > SILENT_AFTER * self.mean_answer()
 
     def fit(self, host: Host, task: Task) -> bool:
         health = host.health
         if health.state == "aside":
             # One trial lets a host back; never with a task that could not be sent again.
             return self.now >= health.until and task.product.kind is not Kind.ONE_SHOT
-        return health.state == "trusted" and not self.silent(host, task.product.quoted_ms)
+        return health.state == "trusted" and not self.silent(host)
 
     def pick(self, task: Task, allowed: list[Host]) -> Host | None:
         """Of two drawn at random, the one this gateway's own counts favour."""
@@ -323,33 +340,33 @@
         if not fit:
             return first
         second = fit[self.chance(len(fit))]
-        quoted = task.product.quoted_ms
-        return second if self.expected(second, quoted) < self.expected(first, quoted) else first
+        return second if self.expected(second) < self.expected(first) else first
 
     def sent(self, forward: Forward) -> None:
         health = forward.host.health
         advance(HOST, health, "quarantine over", self)
         health.outs[forward] = None
         health.last_sent_at = self.now
-        self.units.add(self.now, forward.task.units, 1.0)
         self.sends.add(self.now, *((1.0, 0.0) if len(forward.task.forwards) == 1 else (0.0, 1.0)))
 
     def ended(self, forward: Forward, took_ms: float) -> None:
         health = forward.host.health
         health.outs.pop(forward, None)
-        ending, before = forward.ending, health.state
+        ending, before, task = forward.ending, health.state, forward.task
+        traits = (), (task.product,), (task.product, round(task.units))
+        size = self.size(*traits[2])
         signal = "answered" if ending in (Ending.DONE, Ending.FULL) else "failed"
-        if ending is Ending.TIMEOUT and took_ms < FAIR_TIME * self.mean_answer(
-            forward.task.product.quoted_ms
-        ):
+        if ending is Ending.TIMEOUT and took_ms < FAIR_TIME * self.mean_answer():
             signal = "unproved"  # a client in a hurry says nothing of the host
         elif ending is Ending.MOOT:
             signal = "unproved"
         elif ending in (Ending.DONE, Ending.TIMEOUT, Ending.WITHDRAWN):
             shared = forward.queue_at_send + 1.0
-            health.pace.add(self.now, took_ms, shared)
-            self.load.add(self.now, took_ms, shared)
-            self.pace.add(self.now, took_ms, 1.0)
+            health.pace.add(self.now, took_ms / size, shared)
+            self.load.add(self.now, took_ms / size, shared)
+            self.pace.add(self.now, took_ms / size, 1.0)
+            for trait in traits:
+                self.sizes.setdefault(trait, Ring(20000.0)).add(self.now, took_ms, 1.0)
         if ending in (Ending.DONE, Ending.ERROR, Ending.FULL):
             health.answered_at = self.now
         advance(HOST, health, signal, self)
@@ -369,10 +386,6 @@
     def let_back(self, health: Health) -> None:
         health.failures, health.let_back_at = 0, self.now
 
-    def mean_units(self) -> float:
-        units, tasks = self.units.sums(self.now)
-        return (units + 1.0) / (tasks + 1.0)
-
     def spare(self) -> bool:
         """Guards against a storm of further forwards on a fleet that is slow as a whole."""
         first, further = self.sends.sums(self.now)
@@ -389,15 +402,14 @@
         seed: int,
         number: int,
         gateways: int,
-        haste_ms: float,
+        products: list[Product],
         leave: Leave,
         cold: Cold,
         has_counter: bool,
     ) -> None:
         self.door, self.now, self.leave, self.has_counter = door, now, leave, has_counter
-        self.haste_ms = haste_ms  # the shortest quoted time of all products
         self.breaker = Breaker(door.log)
-        self.fleet = Fleet(now, seed, number, gateways, cold, door.log)
+        self.fleet = Fleet(now, seed, number, gateways, products, cold, door.log)
         self.books: dict[Customer, None] = {}  # the longest untouched first
 
     # Inputs.
@@ -557,11 +569,9 @@
         host = self.fleet.pick(task, self.allowed(task))
         if host is None:
             return "nowhere"
-        expected = self.fleet.expected(host, task.product.quoted_ms)
-        limit = (TOO_LATE_BEYOND if task.surplus else TOO_LATE) * min(quoted_left, self.haste_ms)
-        if expected > limit and (host.health.outs or quoted_left <= 0):
-            # Guards against queues in which every answer comes too late, and hosts overdriven by them:
-            # all products share a host's queue, so it is kept short enough for the one in most haste.
+        expected = self.fleet.expected(host)
+        longest = self.fleet.longest_queue(TOO_LATE_BEYOND if task.surplus else TOO_LATE)
+        if quoted_left <= 0 or (host.health.outs and expected > min(longest, quoted_left)):
             return "nowhere"
         if not task.forwards and book.ceiling is not None:
             if book.ceiling.room(self.now) < task.units:
@@ -582,10 +592,9 @@
         task = forward.task
         if MAY_HAVE_RUN[task.product.kind][0] == "no" or not self.leave.withdraw:
             return
-        mean = self.fleet.mean_answer(task.product.quoted_ms)
-        patience = PATIENCE * mean * max(1.0, task.units / self.fleet.mean_units())
-        if self.now + patience + mean < task.taken_at + task.product.quoted_ms:
-            self.door.wake(patience, forward)
+        mean = self.fleet.mean_answer() * self.fleet.size(task.product, round(task.units))
+        if self.now + (PATIENCE + 1.0) * mean < task.taken_at + task.product.quoted_ms:
+            self.door.wake(PATIENCE * mean, forward)
 
     def pull(self, task: Task) -> None:
         """Guards against hosts that hang or vanish: where a host has answered nothing since it got the
@@ -633,7 +642,7 @@
 
     def come_back_ms(self, task: Task) -> float:
         book, plan = task.customer.book, task.plan
-        wait = self.fleet.mean_answer(task.product.quoted_ms)
+        wait = self.fleet.mean_answer()
         if plan.rate > 0:
             wait = max(wait, (book.estimate(self.now) + task.units - book.allowance()) / plan.rate)
             wait = max(wait, (book.spell - plan.burst) / plan.rate)
