--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -30,6 +30,7 @@
 FIRST_GUESS = 0.2  # of the quoted time: an answer's time before any was seen
 GUESS_WEIGHT = 3.0  # answers that the guess, or the fleet's mean for one host, counts as
 TOO_LATE = 0.5  # of the quoted time: where a mean task's answer is expected later, none is begun
+LATE = 0.8  # of the time left: a task whose own answer is expected later is not begun
 TOO_LATE_BEYOND = 0.25  # the same for tasks beyond the quota, which only get room that is spare
 
 # A task: state and input give the next state and the effect, whose result is the next input.
@@ -571,7 +572,8 @@
             return "nowhere"
         expected = self.fleet.expected(host)
         longest = self.fleet.longest_queue(TOO_LATE_BEYOND if task.surplus else TOO_LATE)
-        if quoted_left <= 0 or (host.health.outs and expected > min(longest, quoted_left)):
+        own = expected * self.fleet.size(task.product, round(task.units))
+        if quoted_left <= 0 or (host.health.outs and (expected > longest or own > LATE * quoted_left)):
             return "nowhere"
         if not task.forwards and book.ceiling is not None:
             if book.ceiling.room(self.now) < task.units:
