Under load, tasks that earn less for their time wait behind shorter queues

The queue a task may join is cut by up to half where its benefit for its time is under the mean. Plans do not count, since the worst-served plan is part of the goal. Also meets floods of cheap tasks; may hurt where a cheap product has a goal of its own.

--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -246,6 +246,7 @@
         self.pace = Ring(4000.0)  # answer times of tasks made mean ones, and answers, over all hosts
         self.load = Ring(4000.0)  # the same times, and the forwards they shared a host with
         self.sends = Ring(5000.0)  # first and further forwards
+        self.earned = Ring(20000.0)  # benefit of answered tasks, and their sizes
         self.sizes: dict[tuple, Ring] = {}  # answer times and answers, by a trait of the tasks
 
     def roster(self, sightings: list[Sighting], whole: bool) -> None:
@@ -289,6 +290,12 @@
         products share a host, so it may be as slow as the product in most haste for its size bears."""
         return min(part * product.quoted_ms / self.size(product) for product in self.products)
 
+    def earning(self, task: Task) -> float:
+        """Under load, tasks that earn less for their time than the mean one wait behind shorter queues."""
+        earned, took = self.earned.sums(self.now)
+        own = task.product.benefit * task.units / self.size(task.product, round(task.units))
+        return (1.0 + min(1.0, own * (took + 1.0) / (earned + task.product.benefit))) / 2 if earned else 1.0
+
     def warmth(self, host: Host) -> float:
         """The part of its capacity that a host is proved to have by its age."""
         if not host.started_at or self.cold.warm_after_ms <= 0:
@@ -366,6 +373,7 @@
             health.pace.add(self.now, took_ms / size, shared)
             self.load.add(self.now, took_ms / size, shared)
             self.pace.add(self.now, took_ms / size, 1.0)
+            self.earned.add(self.now, task.product.benefit * task.units, size)
             for trait in traits:
                 self.sizes.setdefault(trait, Ring(20000.0)).add(self.now, took_ms, 1.0)
         if ending in (Ending.DONE, Ending.ERROR, Ending.FULL):
@@ -572,6 +580,7 @@
             return "nowhere"
         expected = self.fleet.expected(host)
         longest = self.fleet.longest_queue(TOO_LATE_BEYOND if task.surplus else TOO_LATE)
+        longest *= self.fleet.earning(task)
         own = expected * self.fleet.size(task.product, round(task.units))
         if quoted_left <= 0 or (host.health.outs and (expected > longest or own > LATE * quoted_left)):
             return "nowhere"
