--- a/granitedock/benchlink/birth.py
+++ b/granitedock/benchlink/birth.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from granitedock.policy.interface import Cold, Group, Kind, Leave, Plan, Product
+from granitedock.policy.interface import Cold, Group, Kind, Leave, Plan, Product, Seat
 
 KINDS = {"safe": Kind.HARMLESS, "keyed": Kind.STAMPED, "unsafe": Kind.ONE_SHOT}
 PER_MS = 0.001
@@ -57,7 +57,6 @@
         most_forwards=int(number(allowed, "MaxAttempts")),
         second_copies=bool(allowed.get("SecondCopies")),
         withdraw=bool(allowed.get("Cancel")),
-        probes=bool(allowed.get("Probes")),
         retry_after=bool(allowed.get("RetryAfter")),
         most_retry_after_ms=number(allowed, "MaxRetryAfterMs"),
     )
@@ -73,5 +72,9 @@
     )
 
 
+def seat(seed: int, born: dict[str, Any]) -> Seat:
+    return Seat(seed, int(number(born, "Me")), max(1, int(number(born, "Balancers"))))
+
+
 def has_counter(born: dict[str, Any]) -> bool:
     return bool((born.get("Specifics") or {}).get("Counter"))
--- a/granitedock/benchlink/pipe.py
+++ b/granitedock/benchlink/pipe.py
@@ -73,9 +73,7 @@
         self.gateway = Gateway(
             self,
             now,
-            seed,
-            int(born["Me"]),
-            int(born["Balancers"]),
+            birth.seat(seed, born),
             list(self.products.values()),
             birth.leave(born),
             birth.cold(born),
@@ -109,9 +107,6 @@
         self.wakes[self.last_wake] = why
         self.commands.append(["Defer", after_ms, self.last_wake])
 
-    def probe(self, host: Host) -> None:
-        self.commands.append(["Probe", self.addresses[host]])
-
     def log(self, line: str) -> None:
         self.commands.append(["Emit", line])
 
@@ -214,9 +209,8 @@
             return
         self.gateway.woke(why)
 
-    def checked(self, address: str, ending: int, took_ms: float, load: list | None = None) -> None:
-        host = known(self.hosts, address, "host")
-        self.gateway.probed(host, known(ENDINGS, ending, "ending"), took_ms, load or [])
+    def checked(self, *_whole: Any) -> None:
+        """No decision asks for probes."""
 
     def message(self, *_whole: Any) -> None:
         """The design talks through the counter alone."""
--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -1,7 +1,7 @@
 """All decisions of granitedock, read aloud after outages.
 
 How it is called: a carrier makes one Gateway per api gateway, sets its clock `now` before each batch,
-and calls roster, take, ended, started, client_gone, counted, woke and probed; what the gateway decides
+and calls roster, take, ended, started, client_gone, counted and woke; what the gateway decides
 goes out through the Door it was given. Types and the Door's protocol: granitedock/policy/interface.py.
 What is kept of the design, what was changed and why: docs/design.md.
 """
@@ -11,7 +11,7 @@
 import zlib
 
 from granitedock.policy.interface import Call, Cold, Customer, Door, Ending, Forward, Group, Host, Kind
-from granitedock.policy.interface import Leave, Plan, Product, Sighting, Status, Task
+from granitedock.policy.interface import Leave, Plan, Product, Seat, Sighting, Status, Task
 
 BUDGET_MS = 20.0  # the design's budget of a call to the counter
 BREAKER_FAILURES = 5  # the design's breaker opens after so many failures in a row
@@ -234,11 +234,8 @@
 class Fleet:
     """The hosts: which are fit, which cold, and which one gets a task."""
 
-    def __init__(
-        self, now: float, seed: int, number: int, gateways: int, products: list[Product], cold: Cold, log
-    ) -> None:
-        self.now, self.seed, self.draws = now, seed, 0
-        self.number, self.gateways, self.cold, self.log = number, max(1, gateways), cold, log
+    def __init__(self, now: float, seat: Seat, products: list[Product], cold: Cold, log) -> None:
+        self.now, self.seat, self.draws, self.cold, self.log = now, seat, 0, cold, log
         self.known: dict[Host, None] = {}
         self.ready: list[Host] = []
         self.products = products
@@ -264,7 +261,7 @@
 
     def chance(self, sides: int) -> int:
         self.draws += 1
-        return zlib.crc32(b"%d/%d" % (self.seed, self.draws)) % sides
+        return zlib.crc32(b"%d/%d" % (self.seat.seed, self.draws)) % sides
 
     def size(self, *trait) -> float:
         """How long tasks with this trait take, in mean tasks: by product, or by product and units."""
@@ -315,11 +312,11 @@
         warm = sum(1 for other in self.ready if self.warmth(other) >= 1.0)
         if not warm:
             return True
-        if int(self.now // self.cold.tip_after_ms) % self.gateways != self.number:
+        if int(self.now // self.cold.tip_after_ms) % self.seat.gateways != self.seat.number:
             return False
         first, further = self.sends.sums(self.now)
         mean = (first + further) / 5000.0 / warm
-        return (self.now - host.health.last_sent_at) * part * mean * self.gateways >= 1.0
+        return (self.now - host.health.last_sent_at) * part * mean * self.seat.gateways >= 1.0
 
     def silent(self, host: Host) -> bool:
         """Guards against hosts that take tasks and answer none, and machines that vanish unheard."""
@@ -408,17 +405,15 @@
         self,
         door: Door,
         now: float,
-        seed: int,
-        number: int,
-        gateways: int,
+        seat: Seat,
         products: list[Product],
         leave: Leave,
         cold: Cold,
-        has_counter: bool,
+        counter: bool,
     ) -> None:
-        self.door, self.now, self.leave, self.has_counter = door, now, leave, has_counter
+        self.door, self.now, self.leave, self.has_counter = door, now, leave, counter
         self.breaker = Breaker(door.log)
-        self.fleet = Fleet(now, seed, number, gateways, products, cold, door.log)
+        self.fleet = Fleet(now, seat, products, cold, door.log)
         self.books: dict[Customer, None] = {}  # the longest untouched first
 
     # Inputs.
@@ -494,9 +489,6 @@
             self.breaker.tell("failed", self.now)
             advance(TASK, call.task, "unanswered", self)
 
-    def probed(self, host: Host, ending: Ending, took_ms: float, load: list) -> None:
-        """No decision rests on probes."""
-
     # Effects of the quota path.
 
     def ask(self, task: Task) -> str | None:
@@ -663,6 +655,5 @@
 
 
 def same_group(group: Group, host: Host, other: Host) -> bool:
-    return group is Group.ALL or (host.zone if group is Group.ZONE else host.cell) == (
-        other.zone if group is Group.ZONE else other.cell
-    )
+    same = {Group.ALL: True, Group.ZONE: host.zone == other.zone, Group.CELL: host.cell == other.cell}
+    return same[group]
--- a/granitedock/policy/interface.py
+++ b/granitedock/policy/interface.py
@@ -30,7 +30,7 @@
 
 
 class Ending(Enum):
-    """How a forward, a probe or a call to the counter ended."""
+    """How a forward or a call to the counter ended."""
 
     DONE = "done"
     ERROR = "error"
@@ -84,11 +84,19 @@
     most_forwards: int
     second_copies: bool
     withdraw: bool
-    probes: bool
     retry_after: bool
     most_retry_after_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class Seat:
+    """A gateway's place among the gateways, and the seed of its chances."""
+
+    seed: int
+    number: int
+    gateways: int
+
+
 @dataclass(frozen=True, slots=True)
 class Cold:
     """What is known of a host that has just started, and what pushes it over."""
@@ -153,7 +161,6 @@
     amount: float
     life_ms: float
     task: Task | None = None
-    trial: bool = False
     overdue: bool = False
     answered: bool = False
 
@@ -186,6 +193,4 @@
 
     def wake(self, after_ms: float, why: object) -> None: ...
 
-    def probe(self, host: Host) -> None: ...
-
     def log(self, line: str) -> None: ...
--- /dev/null
+++ b/tests/test_stories.py
@@ -0,0 +1,248 @@
+"""One short story for each failure met, against the fake host of tests/fakehost.py."""
+
+from fakehost import BY_ZONE, CAPPED, FEW_OUT, ONE_SHOT, PLAN, READ, STAMPED, Story
+
+from granitedock.policy.interface import Customer, Ending, Status
+
+
+def test_a_task_inside_its_allowance_is_counted_once_and_forwarded():
+    story = Story()
+    task = story.admitted()
+    assert [call.amount for call in story.calls] == [1]
+    assert [forward.task for forward in story.forwards] == [task]
+
+
+def test_over_the_allowance_is_deferred_at_once_and_repaid_only_once():
+    story = Story()
+    story.ask(units=2)
+    story.counter(total=500)
+    assert len(story.deferred) == 1 and story.deferred[0][1] > 0
+    assert [call.amount for call in story.calls] == [2, -2]
+    story.counter(total=498)
+    assert len(story.calls) == 2
+
+
+def test_a_spell_may_not_pass_rate_and_burst_though_the_window_has_room():
+    story, customer = Story(), Customer(5)
+    for total in range(5, 45, 5):
+        story.ask(customer=customer, units=5)
+        story.counter(total=min(total, 25))
+    assert len(story.forwards) == 4  # a burst of twenty units
+    assert story.deferred
+
+
+def test_the_name_is_the_same_at_every_gateway_and_apart_for_each_window():
+    one, other = Story(number=0), Story(number=1)
+    one.ask(customer=Customer(42))
+    other.ask(customer=Customer(42))
+    assert one.calls[0].name == other.calls[0].name
+    one.pass_ms(30000)
+    one.ask(customer=Customer(42))
+    assert one.calls[-1].name != one.calls[0].name
+    assert 0 <= one.calls[-1].name < 2**63 and one.calls[0].life_ms <= 60000
+
+
+def test_a_late_answer_keeps_a_forwarded_task_s_units_and_repays_a_deferred_one_s():
+    story, customer = Story(), Customer(5)
+    kept = story.ask(customer=customer, units=5)
+    story.pass_ms(25)  # past the budget: the emergency bucket lets it in
+    assert [forward.task for forward in story.forwards] == [kept]
+    story.counter(total=5)
+    assert len(story.calls) == 1
+    refused = story.ask(customer=customer, units=8)
+    story.pass_ms(25)
+    assert [task for task, _ in story.deferred] == [refused]
+    story.counter(total=13)
+    assert story.calls[-1].amount == -8
+
+
+def test_the_breaker_opens_after_five_failures_and_one_trial_closes_it():
+    story = Story(hosts=12)
+    for _ in range(5):
+        story.ask(customer=Customer(5))
+        story.counter(Ending.UNREACHED)
+    story.ask(customer=Customer(6))
+    assert len(story.calls) == 5  # barred
+    story.pass_ms(5000)
+    story.ask(customer=Customer(7))
+    story.ask(customer=Customer(8))
+    assert len(story.calls) == 6  # one trial
+    story.counter()
+    story.ask(customer=Customer(9))
+    assert len(story.calls) == 7
+    assert len(story.lines) == 3  # one line for each change of mode
+
+
+def test_the_emergency_bucket_gives_an_even_share():
+    story, customer = Story(), Customer(5)
+    for _ in range(30):
+        story.ask(customer=customer, units=2, spread=4)
+        story.counter(Ending.FULL)
+        if story.forwards and story.forwards[-1].ending is None:
+            story.ends(Ending.DONE)
+    assert 1 <= len(story.forwards) <= 3  # a quarter of twenty units at once
+
+
+def test_a_ceiling_holds_through_restarts_of_every_gateway_with_the_counter_silent():
+    used = 0.0
+    for _life in range(2):
+        for number in range(2):
+            story, customer = Story(number=number), Customer(5)
+            for _ in range(20):
+                story.ask(plan=CAPPED, customer=customer, units=1)
+                story.pass_ms(25)
+            used += len(story.forwards)
+    assert used <= 40 + 4 + 2 * 20 * 25 * 0.02
+
+
+def test_a_plan_that_limits_tasks_out_at_once():
+    story, customer = Story(), Customer(5)
+    for _ in range(4):
+        story.ask(plan=FEW_OUT, customer=customer)
+    assert len(story.forwards) == 2 and len(story.deferred) == 2
+    story.ends(Ending.DONE)
+    story.ask(plan=FEW_OUT, customer=customer)
+    assert len(story.forwards) == 3
+
+
+def test_units_told_in_the_answer_are_settled():
+    story = Story()
+    story.admitted(units=2)
+    story.gateway.ended(story.forwards[0], Ending.DONE, 50, True, 5, 0)
+    assert story.calls[-1].amount == 3
+
+
+def test_effects_after_a_forward_that_never_ran():
+    for product in (READ, STAMPED, BY_ZONE, ONE_SHOT):
+        story = Story()
+        story.admitted(product)
+        story.ends(Ending.UNREACHED)
+        assert len(story.forwards) == 2
+        assert story.forwards[0].host is not story.forwards[1].host
+
+
+def test_effects_after_a_forward_that_may_have_run():
+    again = {READ: True, STAMPED: True, BY_ZONE: True, ONE_SHOT: False}
+    for product, allowed in again.items():
+        story = Story()
+        story.admitted(product)
+        story.ends(Ending.RESET)
+        assert (len(story.forwards) == 2) is allowed
+        assert (story.errored != []) is not allowed
+        assert not story.deferred
+
+
+def test_a_stamped_task_stays_in_its_group_and_time():
+    story = Story(hosts=2)
+    story.roster(Status.READY, *story.hosts, zones={story.hosts[0]: "a", story.hosts[1]: "b"})
+    story.admitted(BY_ZONE)
+    story.roster(Status.GONE, story.forwards[0].host)
+    story.ends(Ending.RESET)
+    assert len(story.forwards) == 1 and len(story.errored) == 1  # the group's repeats, and no deferral
+    story = Story()
+    story.admitted(STAMPED)
+    story.pass_ms(3001)
+    story.ends(Ending.TIMEOUT, 3001)
+    assert len(story.forwards) == 1 and len(story.errored) == 1
+
+
+def test_the_time_out_at_the_cut_off_gets_the_final_answer_and_nothing_more():
+    story = Story()
+    task = story.admitted(left=28)
+    story.gateway.now += 28
+    story.ends(Ending.TIMEOUT, 28)
+    assert [t for t, _ in story.deferred] == [task] and len(story.forwards) == 1
+    story.gateway.client_gone(task)
+    assert len(story.deferred) == 1 and not story.errored
+
+
+def test_a_client_that_leaves_while_the_counter_is_asked_is_owed_nothing_and_repaid():
+    story = Story()
+    task = story.ask(units=3)
+    story.gateway.client_gone(task)
+    story.counter(total=3)
+    assert not story.forwards and not story.deferred and story.calls[-1].amount == -3
+
+
+def test_a_draining_or_gone_host_gets_nothing_and_no_host_left_is_answered():
+    story = Story(hosts=2)
+    story.roster(Status.DRAINING, story.hosts[0])
+    for _ in range(4):
+        story.admitted(customer=Customer(5), units=1)
+        story.ends(Ending.DONE)
+    assert all(forward.host is story.hosts[1] for forward in story.forwards)
+    story.roster(Status.GONE, story.hosts[1])
+    story.admitted(customer=Customer(6))
+    assert len(story.deferred) == 1
+
+
+def test_a_cold_host_gets_its_part_in_turns_and_a_cold_fleet_is_usable():
+    story = Story()
+    cold = story.hosts[0]
+    story.roster(Status.READY, cold, started_at=story.gateway.now)
+    for step in range(60):
+        story.admitted(customer=Customer(step))
+        story.ends(Ending.DONE)
+        story.pass_ms(25)
+    to_cold = [forward for forward in story.forwards if forward.host is cold]
+    assert len(to_cold) <= 60 / 3 * 0.5
+    assert all(forward.sent_at // 1000 % 2 == 0 for forward in to_cold)  # gateway 0's turns
+    story = Story(started_at=99999.0)
+    story.admitted()
+    assert len(story.forwards) == 1
+
+
+def test_a_task_at_a_silent_host_is_withdrawn_and_sent_elsewhere_one_at_a_slow_host_is_not():
+    story = Story(hosts=2)
+    story.admitted(STAMPED)
+    story.pass_ms(900)
+    assert story.withdrawn == [story.forwards[0]]
+    story.ends(Ending.WITHDRAWN, 900)
+    assert story.forwards[1].host is not story.forwards[0].host
+    story = Story(hosts=1)
+    story.admitted(STAMPED)
+    story.pass_ms(100)
+    story.admitted(customer=Customer(7))
+    story.ends(Ending.DONE, 20)
+    story.pass_ms(800)
+    assert not story.withdrawn
+
+
+def test_failures_in_a_row_set_a_host_aside_but_never_the_whole_fleet():
+    story = Story(hosts=3)
+    bad = story.hosts[0]
+    for step in range(40):
+        story.admitted(customer=Customer(step))
+        forward = story.forwards[-1]
+        story.ends(Ending.ERROR if forward.host is bad else Ending.DONE)
+        while story.forwards[-1].ending is None:
+            story.ends(Ending.DONE)
+    assert len([f for f in story.forwards if f.host is bad]) <= 4
+    story = Story(hosts=3)
+    for step in range(30):
+        story.admitted(ONE_SHOT, customer=Customer(step))
+        story.ends(Ending.ERROR)
+    assert len(story.forwards) == 30
+
+
+def test_a_queue_in_which_answers_come_too_late_is_not_joined():
+    story = Story(hosts=1)
+    for step in range(12):
+        story.admitted(customer=Customer(step))
+    assert 1 <= len(story.forwards) < 12 and story.deferred
+
+
+def test_one_off_customers_do_not_fill_the_memory():
+    story = Story()
+    for step in range(200):
+        story.admitted(customer=Customer(step))
+        story.ends(Ending.DONE)
+        story.pass_ms(1000)
+    assert len(story.gateway.books) <= 70
+
+
+def test_a_gateway_that_starts_again_takes_in_the_totals_of_the_others():
+    story = Story(at=100000.0)
+    story.ask(plan=PLAN, units=1)
+    story.counter(total=500)
+    assert not story.forwards and len(story.deferred) == 1
