--- a/granitedock/benchlink/pipe.py
+++ b/granitedock/benchlink/pipe.py
@@ -287,7 +287,7 @@
     @staticmethod
     def clock(link: Link, now: float) -> None:
         link.now = now
-        link.gateway.now = now
+        link.gateway.at(now)
 
 
 def run(source: BinaryIO | None = None, sink: BinaryIO | None = None) -> int:
--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -1,7 +1,7 @@
 """All decisions of granitedock, read aloud after outages.
 
-How it is called: a carrier makes one Gateway per api gateway, sets its clock `now` before each batch,
-and calls roster, take, ended, started, client_gone, counted and woke; what the gateway decides
+How it is called: a carrier makes one Gateway per api gateway, sets its clock with `at` before each
+batch, and calls roster, take, ended, started, client_gone, counted and woke; what the gateway decides
 goes out through the Door it was given. Types and the Door's protocol: granitedock/policy/interface.py.
 What is kept of the design, what was changed and why: docs/design.md.
 """
@@ -75,10 +75,10 @@
     ("trusted", "tripped"): ("aside", "set_aside"),
     ("trusted", "answered"): ("trusted", "clear"),
     ("aside", "quarantine over"): ("on trial", None),
-    ("aside", "answered"): ("trusted", "let_back"),
+    ("aside", "answered"): ("trusted", "clear"),
     ("on trial", "unproved"): ("aside", None),
     ("on trial", "failed"): ("aside", "set_aside"),
-    ("on trial", "answered"): ("trusted", "let_back"),
+    ("on trial", "answered"): ("trusted", "clear"),
 }
 
 
@@ -124,6 +124,12 @@
         self.at = now
         return self.level
 
+    def take(self, units: float, now: float) -> bool:
+        if self.room(now) < units:
+            return False
+        self.level -= units
+        return True
+
     def wait_ms(self, units: float, now: float) -> float:
         return max(0.0, units - self.room(now)) / self.rate if self.rate > 0 else LONGEST_NAME_MS
 
@@ -134,15 +140,15 @@
     def __init__(self, log) -> None:
         self.state, self.failures, self.until, self.now, self.log = "closed", 0, 0.0, 0.0, log
 
-    def tell(self, signal: str, now: float) -> None:
-        before, self.now = self.state, now
+    def tell(self, signal: str) -> None:
+        before = self.state
         advance(BREAKER, self, signal, self)
         if self.state != before:
             self.log(f"breaker {before} to {self.state}: {self.failures} failures in a row")
 
-    def lets_call(self, now: float) -> bool:
-        if self.state == "open" and now >= self.until:
-            self.tell("quarantine over", now)
+    def lets_call(self) -> bool:
+        if self.state == "open" and self.now >= self.until:
+            self.tell("quarantine over")
             return True
         return self.state == "closed"
 
@@ -162,7 +168,9 @@
 
     def __init__(self, plan: Plan, spread: int, now: float) -> None:
         self.plan, self.spread = plan, max(1, spread)
-        self.window_ms = window_ms(plan)
+        longest = LONGEST_NAME_MS / NAMES_LAST
+        fills_in = plan.burst / plan.rate if plan.rate > 0 else longest
+        self.window_ms = min(longest, max(1000.0, WINDOW_OF_BURST * fills_in))
         self.window, self.current, self.previous = -1, 0.0, 0.0
         self.spell, self.seen_at = 0.0, now  # units used in this spell beyond what the rate has paid
         self.debt = 0.0  # units owed back to the current name
@@ -213,12 +221,6 @@
         return (customer.key * 0x9E3779B97F4A7C15 + self.window * 0xBF58476D1CE4E5B9) % 2**63
 
 
-def window_ms(plan: Plan) -> float:
-    if plan.rate <= 0:
-        return LONGEST_NAME_MS / NAMES_LAST
-    return min(LONGEST_NAME_MS / NAMES_LAST, max(1000.0, WINDOW_OF_BURST * plan.burst / plan.rate))
-
-
 class Health:
     """What this gateway knows of one host from its own forwards."""
 
@@ -228,7 +230,6 @@
         self.pace = Ring(4000.0)  # answer times, and the forwards they shared the host with
         self.answered_at = now
         self.last_sent_at = -LONGEST_NAME_MS
-        self.let_back_at: float | None = None
 
 
 class Fleet:
@@ -389,9 +390,6 @@
     def clear(self, health: Health) -> None:
         health.failures = 0
 
-    def let_back(self, health: Health) -> None:
-        health.failures, health.let_back_at = 0, self.now
-
     def spare(self) -> bool:
         """Guards against a storm of further forwards on a fleet that is slow as a whole."""
         first, further = self.sends.sums(self.now)
@@ -406,29 +404,29 @@
         door: Door,
         now: float,
         seat: Seat,
-        products: list[Product],
+        goods: list[Product],
         leave: Leave,
         cold: Cold,
         counter: bool,
     ) -> None:
         self.door, self.now, self.leave, self.has_counter = door, now, leave, counter
         self.breaker = Breaker(door.log)
-        self.fleet = Fleet(now, seat, products, cold, door.log)
+        self.fleet = Fleet(now, seat, goods, cold, door.log)
         self.books: dict[Customer, None] = {}  # the longest untouched first
 
     # Inputs.
 
+    def at(self, now: float) -> None:
+        self.now = self.fleet.now = self.breaker.now = now
+
     def roster(self, sightings: list[Sighting], whole: bool) -> None:
-        self.fleet.now = self.now
         self.fleet.roster(sightings, whole)
 
     def take(self, task: Task) -> None:
-        self.fleet.now = self.now
         self.book(task).turn(self.now)
         advance(TASK, task, "arrived", self)
 
     def counted(self, call: Call, ending: Ending, total: float) -> None:
-        self.fleet.now = self.now
         book, task = call.customer.book, call.task
         call.answered = True
         if book is not None:
@@ -443,9 +441,9 @@
         if call.overdue:
             # Late: decided without it. Units of a task that never went out go back, others stay.
             if landed and task.state == "over" and not task.forwards:
-                self.repay(call)
+                self.settle(call, -task.units)
             return
-        self.breaker.tell("succeeded" if landed else "failed", self.now)
+        self.breaker.tell("succeeded" if landed else "failed")
         if not landed:
             advance(TASK, task, "unanswered", self)
         elif book.over(self.now):
@@ -453,12 +451,11 @@
         elif task.state == "counting":
             advance(TASK, task, "within", self)
         else:
-            self.repay(call)
+            self.settle(call, -task.units)
 
     def ended(
         self, forward: Forward, ending: Ending, took_ms: float, final: bool, units: float, used: int
     ) -> None:
-        self.fleet.now = self.now
         task = forward.task
         forward.ending = ending
         task.out -= 1
@@ -478,7 +475,6 @@
 
     def woke(self, why: Call | Forward) -> None:
         """The budget of a call is up, or a forward has been out for long."""
-        self.fleet.now = self.now
         if isinstance(why, Forward):
             if why.ending is None:
                 advance(TASK, why.task, "stuck", self)
@@ -486,7 +482,7 @@
         call = why
         if not call.answered and not call.overdue:
             call.overdue = True
-            self.breaker.tell("failed", self.now)
+            self.breaker.tell("failed")
             advance(TASK, call.task, "unanswered", self)
 
     # Effects of the quota path.
@@ -497,7 +493,7 @@
             return "over"
         if plan.rate <= 0:
             return "within"
-        if not self.has_counter or not self.breaker.lets_call(self.now):
+        if not self.has_counter or not self.breaker.lets_call():
             return "unanswered"
         amount, book.debt = task.units - book.debt, 0.0
         task.call = self.call(task.customer, amount)
@@ -506,11 +502,7 @@
         return None
 
     def emergency(self, task: Task) -> str:
-        book = task.customer.book
-        if book.local.room(self.now) < task.units:
-            return "over"
-        book.local.level -= task.units
-        return "within"
+        return "within" if task.customer.book.local.take(task.units, self.now) else "over"
 
     def beyond(self, task: Task) -> str:
         self.refund(task)
@@ -523,10 +515,7 @@
         call = task.call
         if call is not None and call.answered and not call.overdue:
             task.call = None  # once only
-            self.repay(call)
-
-    def repay(self, call: Call) -> None:
-        self.settle(call, -call.task.units)
+            self.settle(call, -task.units)
 
     def settle(self, call: Call | None, units: float) -> None:
         """Add to the name the task was counted under; while calls are barred it rides on the next add."""
@@ -576,10 +565,8 @@
         own = expected * self.fleet.size(task.product, round(task.units))
         if quoted_left <= 0 or (host.health.outs and (expected > longest or own > LATE * quoted_left)):
             return "nowhere"
-        if not task.forwards and book.ceiling is not None:
-            if book.ceiling.room(self.now) < task.units:
-                return "nowhere"
-            book.ceiling.level -= task.units
+        if not task.forwards and book.ceiling is not None and not book.ceiling.take(task.units, self.now):
+            return "nowhere"
         forward = Forward(task, host, self.now, len(host.health.outs))
         task.forwards.append(forward)
         task.out += 1
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -73,9 +73,9 @@
         end = self.gateway.now + ms
         while due := sorted((w for w in self.wakes if w[0] <= end), key=lambda w: w[0]):
             self.wakes.remove(due[0])
-            self.gateway.now = due[0][0]
+            self.gateway.at(due[0][0])
             self.gateway.woke(due[0][1])
-        self.gateway.now = end
+        self.gateway.at(end)
 
     def ask(self, product=READ, plan=PLAN, customer=None, units=1.0, spread=2, left=None):
         now = self.gateway.now
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -149,7 +149,7 @@
 def test_the_time_out_at_the_cut_off_gets_the_final_answer_and_nothing_more():
     story = Story()
     task = story.admitted(left=28)
-    story.gateway.now += 28
+    story.gateway.at(story.gateway.now + 28)
     story.ends(Ending.TIMEOUT, 28)
     assert [t for t, _ in story.deferred] == [task] and len(story.forwards) == 1
     story.gateway.client_gone(task)
