Units owed back ride on the next add to the name

Cause: each refusal cost a second call; floods of refused tasks crowded the counter, whose late answers opened the breakers.

--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -522,10 +522,7 @@
         book = call.customer.book if call is not None else None
         if book is None or call.window != book.window or not units:
             return
-        if self.breaker.state == "closed":
-            self.call(call.customer, units)
-        else:
-            book.debt -= units
+        book.debt -= units
 
     def call(self, customer: Customer, amount: float) -> Call:
         book = customer.book
