A debt without a ride is paid by its own call while the counter is calm

Also: a debt on a call proved not added is owed again, and the previous count leaves out what is still owed.

--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -14,6 +14,7 @@
 from granitedock.policy.interface import Leave, Plan, Product, Seat, Sighting, Status, Task
 
 BUDGET_MS = 20.0  # the design's budget of a call to the counter
+RIDE_MS = 150.0  # a debt to a name waits so long for an add to ride on
 BREAKER_FAILURES = 5  # the design's breaker opens after so many failures in a row
 QUARANTINE_MS = 5000.0  # ... and lets one trial call through after this
 WINDOW_OF_BURST = 2.0  # a window is as long as the rate needs to fill the burst, this many times
@@ -139,6 +140,7 @@
 
     def __init__(self, log) -> None:
         self.state, self.failures, self.until, self.now, self.log = "closed", 0, 0.0, 0.0, log
+        self.failed_at = -QUARANTINE_MS
 
     def tell(self, signal: str) -> None:
         before = self.state
@@ -152,8 +154,12 @@
             return True
         return self.state == "closed"
 
+    def calm(self) -> bool:
+        """No call failed for a while, so there is room for calls that can wait."""
+        return self.state == "closed" and self.now - self.failed_at > QUARANTINE_MS
+
     def tally(self, _self) -> str | None:
-        self.failures += 1
+        self.failures, self.failed_at = self.failures + 1, self.now
         return "tripped" if self.failures >= BREAKER_FAILURES else None
 
     def quarantine(self, _self) -> None:
@@ -173,7 +179,7 @@
         self.window_ms = min(longest, max(1000.0, WINDOW_OF_BURST * fills_in))
         self.window, self.current, self.previous = -1, 0.0, 0.0
         self.spell, self.seen_at = 0.0, now  # units used in this spell beyond what the rate has paid
-        self.debt = 0.0  # units owed back to the current name
+        self.debt, self.pays = 0.0, False  # units owed back to the current name, and a wake to pay them
         self.out = 0
         self.touched_at = now
         share = 1.0 / self.spread
@@ -190,7 +196,7 @@
         """Come to the window of now; the previous count is the last total told of that name."""
         window = int(now // self.window_ms)
         if window != self.window:
-            self.previous = self.current if window == self.window + 1 else 0.0
+            self.previous = max(0.0, self.current - self.debt) if window == self.window + 1 else 0.0
             self.window, self.current, self.debt = window, 0.0, 0.0
 
     def told(self, call: Call, total: float, now: float) -> None:
@@ -433,8 +439,8 @@
             book.turn(self.now)
             if ending is Ending.DONE:
                 book.told(call, total, self.now)
-            elif call.amount < 0 and ending is not Ending.TIMEOUT and call.window == book.window:
-                book.debt -= call.amount
+            elif ending is not Ending.TIMEOUT and call.window == book.window:
+                book.debt += (task.units if task is not None else 0.0) - call.amount  # proved not added
         if task is None:
             return
         landed = ending is Ending.DONE
@@ -473,17 +479,17 @@
     def client_gone(self, task: Task) -> None:
         advance(TASK, task, "client gone", self)
 
-    def woke(self, why: Call | Forward) -> None:
-        """The budget of a call is up, or a forward has been out for long."""
-        if isinstance(why, Forward):
+    def woke(self, why: Call | Forward | Customer) -> None:
+        """The budget of a call is up, a forward has been out for long, or a debt found no ride."""
+        if isinstance(why, Customer):
+            self.pay(why)
+        elif isinstance(why, Forward):
             if why.ending is None:
                 advance(TASK, why.task, "stuck", self)
-            return
-        call = why
-        if not call.answered and not call.overdue:
-            call.overdue = True
+        elif not why.answered and not why.overdue:
+            why.overdue = True
             self.breaker.tell("failed")
-            advance(TASK, call.task, "unanswered", self)
+            advance(TASK, why.task, "unanswered", self)
 
     # Effects of the quota path.
 
@@ -518,11 +524,27 @@
             self.settle(call, -task.units)
 
     def settle(self, call: Call | None, units: float) -> None:
-        """Add to the name the task was counted under; while calls are barred it rides on the next add."""
+        """Owe the units to the name the task was counted under. They ride on the next add to it, so that
+        refusals do not crowd the counter; a debt that finds no ride in time is paid by a call of its own
+        while the counter is calm."""
         book = call.customer.book if call is not None else None
-        if book is None or call.window != book.window or not units:
-            return
-        book.debt -= units
+        if book is not None and call.window == book.window and units:
+            book.debt -= units
+            if not book.pays:
+                book.pays = True
+                self.door.wake(RIDE_MS, call.customer)
+
+    def pay(self, customer: Customer) -> None:
+        book = customer.book
+        if book is not None:
+            book.pays = False
+            if (
+                book.debt
+                and self.breaker.state == "closed"
+                and int(self.now // book.window_ms) == book.window
+            ):
+                amount, book.debt = -book.debt, 0.0
+                self.call(customer, amount)
 
     def call(self, customer: Customer, amount: float) -> Call:
         book = customer.book
