Carry the spell through the emergency bucket; give back only units that landed

Cause: whenever the counter failed or came back, each customer got a fresh burst, from every gateway's full local bucket and again from an empty spell; and a refusal after a failed call owed units that had never been added. The emergency bucket now starts as full as the spell leaves it, and the spell goes on from it afterwards. It should also hold against flapping breakers; it may hurt a customer whose spell was read too high.

--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -113,6 +113,11 @@
         live = [cell for stamp, cell in zip(self.stamps, self.cells) if stamp > oldest]
         return sum(cell[0] for cell in live), sum(cell[1] for cell in live)
 
+    def mean(self, now: float, guess: float) -> float:
+        """First by second, begun with a guess that counts as a few answers."""
+        first, second = self.sums(now)
+        return (first + guess * GUESS_WEIGHT) / (second + GUESS_WEIGHT)
+
 
 class Bucket:
     """A store of units that fills at a rate up to its depth."""
@@ -131,9 +136,6 @@
         self.level -= units
         return True
 
-    def wait_ms(self, units: float, now: float) -> float:
-        return max(0.0, units - self.room(now)) / self.rate if self.rate > 0 else LONGEST_NAME_MS
-
 
 class Breaker:
     """The design's breaker round the counter; only a genuine success in time resets it."""
@@ -182,15 +184,12 @@
         self.debt, self.pays = 0.0, False  # units owed back to the current name, and a wake to pay them
         self.out = 0
         self.touched_at = now
-        share = 1.0 / self.spread
-        self.local = Bucket(plan.rate * share, plan.burst * share, plan.burst * share, now)
-        # A ceiling is held by an even share that starts as low as the slack allows: a gateway cannot
-        # tell a restart from a first start, and every restart of all gateways of the set together may
-        # pass the ceiling by half the slack at most.
-        self.ceiling = None
-        if plan.ceiling_rate > 0:
-            start = plan.ceiling_slack * share / 2
-            self.ceiling = Bucket(plan.ceiling_rate * share, plan.ceiling_burst * share, start, now)
+        self.local: Bucket | None = None  # the emergency bucket, while the counter gives no answers
+        # A ceiling is held by an even share that starts as low as the slack allows: a gateway cannot tell
+        # a restart from a first start, and one of every gateway of the set passes it by half the slack.
+        rate, burst, start = plan.ceiling_rate, plan.ceiling_burst, plan.ceiling_slack / 2
+        capped = Bucket(rate / self.spread, burst / self.spread, start / self.spread, now)
+        self.ceiling = capped if rate > 0 else None
 
     def turn(self, now: float) -> None:
         """Come to the window of now; the previous count is the last total told of that name."""
@@ -203,12 +202,27 @@
         """Take in a total. What others added since the last one is taken as spread over the time between."""
         if call.window == self.window:
             others = total - self.current - call.amount
-            paid = self.plan.rate * (now - self.seen_at)
-            self.spell = max(0.0, max(0.0, self.spell + others - paid) + call.amount)
+            self.spell = max(0.0, max(0.0, self.spell_at(now) + others) + call.amount)
             self.current, self.seen_at = total, now
         elif call.window == self.window - 1:
             self.previous = total
 
+    def spell_at(self, now: float) -> float:
+        """Guards against a fresh burst whenever the counter fails or comes back: the spell goes on in the
+        local bucket, which is made as full as the spell leaves it, and is taken from there again after."""
+        if self.local is not None:
+            spell, self.local = (self.local.depth - self.local.room(now)) * self.spread, None
+            return spell
+        return self.spell - self.plan.rate * (now - self.seen_at)
+
+    def lets_in(self, units: float, now: float) -> bool:
+        """The emergency bucket: an even share of rate and burst."""
+        if self.local is None:
+            rate, burst = self.plan.rate / self.spread, self.plan.burst / self.spread
+            level = burst - max(0.0, self.spell_at(now)) / self.spread
+            self.local = Bucket(rate, burst, level, now)
+        return self.local.take(units, now)
+
     def estimate(self, now: float) -> float:
         remaining = self.window_ms - now % self.window_ms
         return self.current + self.previous * remaining / self.window_ms
@@ -251,7 +265,7 @@
         self.load = Ring(4000.0)  # the same times, and the forwards they shared a host with
         self.sends = Ring(5000.0)  # first and further forwards
         self.earned = Ring(20000.0)  # benefit of answered tasks, and their sizes
-        self.sizes: dict[tuple, Ring] = {}  # answer times and answers, by a trait of the tasks
+        self.sizes = {(): Ring(20000.0)}  # answer times and answers, by a trait of the tasks
 
     def roster(self, sightings: list[Sighting], whole: bool) -> None:
         if whole:
@@ -272,22 +286,16 @@
 
     def size(self, *trait) -> float:
         """How long tasks with this trait take, in mean tasks: by product, or by product and units."""
-        own, every = (
-            self.sizes[key].sums(self.now) if key in self.sizes else (0.0, 0.0) for key in (trait, ())
-        )
-        mean = (every[0] + self.guess_ms) / (every[1] + 1.0)
-        return (own[0] + mean * GUESS_WEIGHT) / (own[1] + GUESS_WEIGHT) / mean
+        mean = self.sizes[()].mean(self.now, self.guess_ms)
+        return self.sizes[trait].mean(self.now, mean) / mean if trait in self.sizes else 1.0
 
     def mean_answer(self) -> float:
-        took, answers = self.pace.sums(self.now)
-        return (took + self.guess_ms * GUESS_WEIGHT) / (answers + GUESS_WEIGHT)
+        return self.pace.mean(self.now, self.guess_ms)
 
     def expected(self, host: Host) -> float:
         """When a mean task may be answered: this host's pace by its own answers, times our forwards."""
-        took, shared = self.load.sums(self.now)
-        fleet = (took + self.guess_ms * GUESS_WEIGHT) / (shared + GUESS_WEIGHT)
-        took, shared = host.health.pace.sums(self.now)
-        return (took + fleet * GUESS_WEIGHT) / (shared + GUESS_WEIGHT) * (len(host.health.outs) + 1)
+        fleet = self.load.mean(self.now, self.guess_ms)
+        return host.health.pace.mean(self.now, fleet) * (len(host.health.outs) + 1)
 
     def longest_queue(self, part: float) -> float:
         """Guards against queues in which every answer comes too late, and hosts overdriven by them. All
@@ -296,9 +304,8 @@
 
     def earning(self, task: Task) -> float:
         """Under load, tasks that earn less for their time than the mean one wait behind shorter queues."""
-        earned, took = self.earned.sums(self.now)
         own = task.product.benefit * task.units / self.size(task.product, round(task.units))
-        return (1.0 + min(1.0, own * (took + 1.0) / (earned + task.product.benefit))) / 2 if earned else 1.0
+        return 0.5 + 0.5 * min(1.0, own / self.earned.mean(self.now, own)) if own > 0 else 0.5
 
     def warmth(self, host: Host) -> float:
         """The part of its capacity that a host is proved to have by its age."""
@@ -365,20 +372,18 @@
         health = forward.host.health
         health.outs.pop(forward, None)
         ending, before, task = forward.ending, health.state, forward.task
-        traits = (), (task.product,), (task.product, round(task.units))
-        size = self.size(*traits[2])
+        size = self.size(task.product, round(task.units))
         signal = "answered" if ending in (Ending.DONE, Ending.FULL) else "failed"
-        if ending is Ending.TIMEOUT and took_ms < FAIR_TIME * self.mean_answer():
+        hurried = ending is Ending.TIMEOUT and took_ms < FAIR_TIME * self.mean_answer()
+        if hurried or ending is Ending.MOOT:
             signal = "unproved"  # a client in a hurry says nothing of the host
-        elif ending is Ending.MOOT:
-            signal = "unproved"
         elif ending in (Ending.DONE, Ending.TIMEOUT, Ending.WITHDRAWN):
             shared = forward.queue_at_send + 1.0
             health.pace.add(self.now, took_ms / size, shared)
             self.load.add(self.now, took_ms / size, shared)
             self.pace.add(self.now, took_ms / size, 1.0)
             self.earned.add(self.now, task.product.benefit * task.units, size)
-            for trait in traits:
+            for trait in ((), (task.product,), (task.product, round(task.units))):
                 self.sizes.setdefault(trait, Ring(20000.0)).add(self.now, took_ms, 1.0)
         if ending in (Ending.DONE, Ending.ERROR, Ending.FULL):
             health.answered_at = self.now
@@ -434,30 +439,21 @@
 
     def counted(self, call: Call, ending: Ending, total: float) -> None:
         book, task = call.customer.book, call.task
-        call.answered = True
+        call.answered, call.landed = True, ending is Ending.DONE
         if book is not None:
             book.turn(self.now)
-            if ending is Ending.DONE:
+            if call.landed:
                 book.told(call, total, self.now)
             elif ending is not Ending.TIMEOUT and call.window == book.window:
                 book.debt += (task.units if task is not None else 0.0) - call.amount  # proved not added
         if task is None:
             return
-        landed = ending is Ending.DONE
-        if call.overdue:
-            # Late: decided without it. Units of a task that never went out go back, others stay.
-            if landed and task.state == "over" and not task.forwards:
-                self.settle(call, -task.units)
-            return
-        self.breaker.tell("succeeded" if landed else "failed")
-        if not landed:
-            advance(TASK, task, "unanswered", self)
-        elif book.over(self.now):
-            advance(TASK, task, "over", self)
-        elif task.state == "counting":
-            advance(TASK, task, "within", self)
-        else:
-            self.settle(call, -task.units)
+        if call.landed and task.state == "over" and not task.forwards:
+            self.settle(call, -task.units)  # late, or the client left: it never went out; else they stay
+        if not call.overdue:
+            self.breaker.tell("succeeded" if call.landed else "failed")
+            verdict = ("over" if book.over(self.now) else "within") if call.landed else "unanswered"
+            advance(TASK, task, verdict, self)
 
     def ended(
         self, forward: Forward, ending: Ending, took_ms: float, final: bool, units: float, used: int
@@ -508,7 +504,7 @@
         return None
 
     def emergency(self, task: Task) -> str:
-        return "within" if task.customer.book.local.take(task.units, self.now) else "over"
+        return "within" if task.customer.book.lets_in(task.units, self.now) else "over"
 
     def beyond(self, task: Task) -> str:
         self.refund(task)
@@ -518,9 +514,8 @@
         return self.place(task)
 
     def refund(self, task: Task) -> None:
-        call = task.call
-        if call is not None and call.answered and not call.overdue:
-            task.call = None  # once only
+        call, task.call = task.call, None  # once only
+        if call is not None and call.landed and not call.overdue:
             self.settle(call, -task.units)
 
     def settle(self, call: Call | None, units: float) -> None:
@@ -554,8 +549,8 @@
         return call
 
     def book(self, task: Task) -> Book:
-        """The customer's book; those untouched for as long as any name lasts are dropped, so that a flood
-        of customers seen once cannot fill the memory."""
+        """The customer's book; one untouched for as long as any name lasts is dropped. Guards against
+        floods of customers seen once."""
         customer = task.customer
         if customer.book is None:
             customer.book = Book(task.plan, task.spread, self.now)
@@ -573,9 +568,7 @@
     def place(self, task: Task) -> str:
         book = task.customer.book
         quoted_left = min(task.taken_at + task.product.quoted_ms, task.cutoff_at) - self.now
-        if task.out or not self.may_forward(task):
-            return "nowhere"
-        host = self.fleet.pick(task, self.allowed(task))
+        host = None if task.out or not self.may_forward(task) else self.fleet.pick(task, self.allowed(task))
         if host is None:
             return "nowhere"
         expected = self.fleet.expected(host)
@@ -656,7 +649,7 @@
             wait = max(wait, (book.estimate(self.now) + task.units - book.allowance()) / plan.rate)
             wait = max(wait, (book.spell - plan.burst) / plan.rate)
         if book.ceiling is not None and not task.forwards:
-            wait = max(wait, book.ceiling.wait_ms(task.units, self.now))
+            wait = max(wait, (task.units - book.ceiling.room(self.now)) / book.ceiling.rate)
         return min(wait, self.leave.most_retry_after_ms)
 
 
--- a/granitedock/policy/interface.py
+++ b/granitedock/policy/interface.py
@@ -163,6 +163,7 @@
     task: Task | None = None
     overdue: bool = False
     answered: bool = False
+    landed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -32,7 +32,7 @@
     assert story.calls[-1].amount == 1
     story.counter(Ending.FULL)
     story.ask(customer=customer, units=3)
-    assert story.calls[-1].amount == 1
+    assert story.calls[-1].amount == 1 and len(story.calls) == 3
 
 
 def test_a_spell_may_not_pass_rate_and_burst_though_the_window_has_room():
