Fewer calls to a crowded counter; emergency buckets hold one task at least

While calls have failed lately, a task that the last total already puts over the burst is refused without a call; a task larger than an emergency bucket takes it full and leaves it owing. Also meets floods of one customer and a slow counter; may hurt where the counter forgets a name, as the spell then stays high until it is paid off.

--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -131,10 +131,10 @@
         return self.level
 
     def take(self, units: float, now: float) -> bool:
-        if self.room(now) < units:
-            return False
-        self.level -= units
-        return True
+        """A task larger than the depth takes a full store, and leaves it owing."""
+        lets = self.room(now) >= min(units, self.depth)
+        self.level -= units if lets else 0.0
+        return lets
 
 
 class Breaker:
@@ -142,7 +142,7 @@
 
     def __init__(self, log) -> None:
         self.state, self.failures, self.until, self.now, self.log = "closed", 0, 0.0, 0.0, log
-        self.failed_at = -QUARANTINE_MS
+        self.failed_at = float("-inf")
 
     def tell(self, signal: str) -> None:
         before = self.state
@@ -202,8 +202,9 @@
         """Take in a total. What others added since the last one is taken as spread over the time between."""
         if call.window == self.window:
             others = total - self.current - call.amount
-            self.spell = max(0.0, max(0.0, self.spell_at(now) + others) + call.amount)
-            self.current, self.seen_at = total, now
+            mine = 0.0 if call.overdue else call.amount  # a late one's units are in the local bucket
+            self.spell = max(0.0, max(0.0, self.spell_at(now) + others) + mine)
+            self.current, self.seen_at, self.local = total, now, None
         elif call.window == self.window - 1:
             self.previous = total
 
@@ -211,10 +212,13 @@
         """Guards against a fresh burst whenever the counter fails or comes back: the spell goes on in the
         local bucket, which is made as full as the spell leaves it, and is taken from there again after."""
         if self.local is not None:
-            spell, self.local = (self.local.depth - self.local.room(now)) * self.spread, None
-            return spell
+            return (self.local.depth - self.local.room(now)) * self.spread
         return self.spell - self.plan.rate * (now - self.seen_at)
 
+    def surely_over(self, units: float, now: float) -> bool:
+        """Others can only have added to the spell, so the counter would say no more than this."""
+        return self.local is None and self.spell_at(now) + units > self.plan.burst + SPELL_SLACK
+
     def lets_in(self, units: float, now: float) -> bool:
         """The emergency bucket: an even share of rate and burst."""
         if self.local is None:
@@ -315,9 +319,8 @@
         return min(1.0, self.cold.start_share + (1.0 - self.cold.start_share) * age)
 
     def bears(self, host: Host) -> bool:
-        """Guards against pushing over a cold host, whatever made it start: gateways take turns at it by
-        their number, and each sends in its turn what the part proved by age would get of a warm host's
-        share. Where no host is warm, one forward at a time each."""
+        """Guards against pushing over a cold host: gateways take turns at it by their number, and send in
+        a turn what its proved part would get of a warm host's share; where none is warm, one at a time."""
         part = self.warmth(host)
         if part >= 1.0:
             return True
@@ -495,6 +498,8 @@
             return "over"
         if plan.rate <= 0:
             return "within"
+        if not self.breaker.calm() and book.surely_over(task.units, self.now):
+            return "over"  # guards a crowded counter against calls that cannot change the answer
         if not self.has_counter or not self.breaker.lets_call():
             return "unanswered"
         amount, book.debt = task.units - book.debt, 0.0
@@ -568,7 +573,7 @@
     def place(self, task: Task) -> str:
         book = task.customer.book
         quoted_left = min(task.taken_at + task.product.quoted_ms, task.cutoff_at) - self.now
-        host = None if task.out or not self.may_forward(task) else self.fleet.pick(task, self.allowed(task))
+        host = self.fleet.pick(task, self.allowed(task))
         if host is None:
             return "nowhere"
         expected = self.fleet.expected(host)
@@ -589,8 +594,7 @@
         return "sent"
 
     def watch(self, forward: Forward) -> None:
-        """Look again at a forward that could be made anew, while there is time for that before the
-        quoted time. A larger task is given longer."""
+        """Look again at a forward while there is time to make it anew; at a larger task's later."""
         task = forward.task
         if MAY_HAVE_RUN[task.product.kind][0] == "no" or not self.leave.withdraw:
             return
@@ -599,30 +603,26 @@
             self.door.wake(PATIENCE * mean, forward)
 
     def pull(self, task: Task) -> None:
-        """Guards against hosts that hang or vanish: where a host has answered nothing since it got the
-        task, the forward is withdrawn, and its ending sends the task elsewhere. One at a host that
-        answers others is only slow, and a copy would only add to the work."""
+        """Guards against hosts that hang or vanish: where one has answered nothing since it got the task,
+        the forward is withdrawn, and its ending sends the task elsewhere. Other hosts are only slow."""
         forward = task.forwards[-1]
         if forward.host.health.answered_at > forward.sent_at:
             self.watch(forward)
         elif len(task.forwards) < self.leave.most_forwards and self.fleet.spare():
             self.door.withdraw(forward)
 
-    def may_forward(self, task: Task) -> bool:
-        if not task.forwards:
-            return True
-        if len(task.forwards) >= self.leave.most_forwards or not self.fleet.spare():
-            return False
-        return self.may_have_run(task) is None or MAY_HAVE_RUN[task.product.kind][0] != "no"
-
     def may_have_run(self, task: Task) -> Forward | None:
         """The first forward that is not proved never to have run."""
         return next((f for f in task.forwards if f.ending not in NEVER_RAN), None)
 
     def allowed(self, task: Task) -> list[Host]:
         """The ready hosts that may get the task; not one that it failed at, where there are others."""
-        hosts, ran = self.fleet.ready, self.may_have_run(task)
-        if ran is not None and MAY_HAVE_RUN[task.product.kind][0] == "group":
+        hosts, ran, right = self.fleet.ready, self.may_have_run(task), MAY_HAVE_RUN[task.product.kind][0]
+        if task.out or (task.forwards and not self.fleet.spare()):
+            return []
+        if len(task.forwards) >= self.leave.most_forwards or (ran is not None and right == "no"):
+            return []
+        if ran is not None and right == "group":
             if self.now - ran.sent_at >= task.product.group_ms:
                 return []
             hosts = [host for host in hosts if same_group(task.product.group, host, ran.host)]
