--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -33,7 +33,17 @@
     story.counter(Ending.FULL)
     assert customer.book.debt == 2
     story.ask(customer=customer, units=3)
-    assert len(story.calls) == 2  # the counter is crowded, and could say no more than the last total did
+    assert story.calls[-1].amount == 1
+
+
+def test_a_crowded_counter_is_spared_calls_that_cannot_change_the_answer():
+    story, customer = Story(), Customer(5)
+    story.ask(customer=Customer(6))
+    story.counter(Ending.FULL)
+    story.ask(customer=customer, units=2)
+    story.counter(total=500)
+    story.ask(customer=customer, units=3)
+    assert len(story.calls) == 2 and len(story.deferred) == 2
 
 
 def test_a_spell_may_not_pass_rate_and_burst_though_the_window_has_room():
