--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -301,6 +301,12 @@
         fleet = self.load.mean(self.now, self.guess_ms)
         return host.health.pace.mean(self.now, fleet) * (len(host.health.outs) + 1)
 
+    def stale(self, host: Host) -> bool:
+        """Guards against an old estimate that shuts out an idle host: it is tried anew, by all gateways
+        together about once in a mean answer time."""
+        since = self.now - host.health.last_sent_at
+        return not host.health.outs and since > self.seat.gateways * self.mean_answer()
+
     def longest_queue(self, part: float) -> float:
         """Guards against queues in which every answer comes too late, and hosts overdriven by them. All
         products share a host, so it may be as slow as the product in most haste for its size bears."""
@@ -580,7 +586,8 @@
         longest = self.fleet.longest_queue(TOO_LATE_BEYOND if task.surplus else TOO_LATE)
         longest *= self.fleet.earning(task)
         own = expected * self.fleet.size(task.product, round(task.units))
-        if quoted_left <= 0 or (host.health.outs and (expected > longest or own > LATE * quoted_left)):
+        slow = expected > longest or own > LATE * quoted_left
+        if quoted_left <= 0 or (slow and not self.fleet.stale(host)):
             return "nowhere"
         if not task.forwards and book.ceiling is not None and not book.ceiling.take(task.units, self.now):
             return "nowhere"
