--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -30,9 +30,9 @@
 SPARE_AT_LEAST = 3.0
 FIRST_GUESS = 0.2  # of the quoted time: an answer's time before any was seen
 GUESS_WEIGHT = 3.0  # answers that the guess, or the fleet's mean for one host, counts as
-TOO_LATE = 0.5  # of the quoted time: where a mean task's answer is expected later, none is begun
+TOO_LATE = 0.35  # of the quoted time: where a mean task's answer is expected later, none is begun
 LATE = 0.8  # of the time left: a task whose own answer is expected later is not begun
-TOO_LATE_BEYOND = 0.25  # the same for tasks beyond the quota, which only get room that is spare
+TOO_LATE_BEYOND = 0.2  # the same for tasks beyond the quota, which only get room that is spare
 
 # A task: state and input give the next state and the effect, whose result is the next input.
 TASK = {
@@ -301,12 +301,6 @@
         fleet = self.load.mean(self.now, self.guess_ms)
         return host.health.pace.mean(self.now, fleet) * (len(host.health.outs) + 1)
 
-    def stale(self, host: Host) -> bool:
-        """Guards against an old estimate that shuts out an idle host: it is tried anew, by all gateways
-        together about once in a mean answer time."""
-        since = self.now - host.health.last_sent_at
-        return not host.health.outs and since > self.seat.gateways * self.mean_answer()
-
     def longest_queue(self, part: float) -> float:
         """Guards against queues in which every answer comes too late, and hosts overdriven by them. All
         products share a host, so it may be as slow as the product in most haste for its size bears."""
@@ -586,8 +580,7 @@
         longest = self.fleet.longest_queue(TOO_LATE_BEYOND if task.surplus else TOO_LATE)
         longest *= self.fleet.earning(task)
         own = expected * self.fleet.size(task.product, round(task.units))
-        slow = expected > longest or own > LATE * quoted_left
-        if quoted_left <= 0 or (slow and not self.fleet.stale(host)):
+        if quoted_left <= 0 or (host.health.outs and (expected > longest or own > LATE * quoted_left)):
             return "nowhere"
         if not task.forwards and book.ceiling is not None and not book.ceiling.take(task.units, self.now):
             return "nowhere"
