A product's size counts its tasks by their units

Cause: where one product's tasks differ in size, the queue limit for a mean task let the large ones, which earn most, come late, and hosts were overdriven. A product's size is now the mean over its units.

--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -15,24 +15,19 @@
 
 BUDGET_MS = 20.0  # the design's budget of a call to the counter
 RIDE_MS = 150.0  # a debt to a name waits so long for an add to ride on
-BREAKER_FAILURES = 5  # the design's breaker opens after so many failures in a row
-QUARANTINE_MS = 5000.0  # ... and lets one trial call through after this
+BREAKER_FAILURES, QUARANTINE_MS = 5, 5000.0  # in a row open the breaker; then one trial call
 WINDOW_OF_BURST = 2.0  # a window is as long as the rate needs to fill the burst, this many times
 SPELL_SLACK = 0.5  # units a spell may pass the burst by, for the calls' own delays
-LONGEST_NAME_MS = 60000.0  # the counter keeps no name longer
-NAMES_LAST = 3.0  # windows: a name serves two, and one more for clocks that the calls straddle
-HOST_FAILURES = 3  # in a row set a host aside
-ASIDE_MS = 3000.0  # before its trial
+LONGEST_NAME_MS, NAMES_LAST = 60000.0, 3.0  # the counter's longest life of a name; windows a name lasts
+HOST_FAILURES, ASIDE_MS = 3, 3000.0  # in a row set a host aside; then one trial task
 SILENT_AFTER = 4.0  # mean answer times without a sign of life
 FAIR_TIME = 2.0  # mean answer times: a forward that had less and timed out proves nothing
 PATIENCE = 3.0  # mean answer times before a forward at a silent host is withdrawn to be made again
-SPARE_FORWARDS = 0.15  # further forwards, as a part of first ones, and a few more
-SPARE_AT_LEAST = 3.0
-FIRST_GUESS = 0.2  # of the quoted time: an answer's time before any was seen
-GUESS_WEIGHT = 3.0  # answers that the guess, or the fleet's mean for one host, counts as
-TOO_LATE = 0.35  # of the quoted time: where a mean task's answer is expected later, none is begun
+SPARE_FORWARDS, SPARE_AT_LEAST = 0.15, 3.0  # further forwards: a part of first ones, and a few more
+FIRST_GUESS, GUESS_WEIGHT = 0.2, 3.0  # an answer's time, of the quoted time, before any; in answers
+TOO_LATE = 0.5  # of the quoted time: where a mean task's answer is expected later, none is begun
+TOO_LATE_BEYOND = 0.25  # the same for tasks beyond the quota, which only get room that is spare
 LATE = 0.8  # of the time left: a task whose own answer is expected later is not begun
-TOO_LATE_BEYOND = 0.2  # the same for tasks beyond the quota, which only get room that is spare
 
 # A task: state and input give the next state and the effect, whose result is the next input.
 TASK = {
@@ -289,7 +284,8 @@
         return zlib.crc32(b"%d/%d" % (self.seat.seed, self.draws)) % sides
 
     def size(self, *trait) -> float:
-        """How long tasks with this trait take, in mean tasks: by product, or by product and units."""
+        """How long tasks with this trait take, in mean tasks: by product and units, or by product alone;
+        there a task counts by its units, since the larger ones earn more and must come in time too."""
         mean = self.sizes[()].mean(self.now, self.guess_ms)
         return self.sizes[trait].mean(self.now, mean) / mean if trait in self.sizes else 1.0
 
@@ -386,8 +382,8 @@
             self.load.add(self.now, took_ms / size, shared)
             self.pace.add(self.now, took_ms / size, 1.0)
             self.earned.add(self.now, task.product.benefit * task.units, size)
-            for trait in ((), (task.product,), (task.product, round(task.units))):
-                self.sizes.setdefault(trait, Ring(20000.0)).add(self.now, took_ms, 1.0)
+            for weight, *trait in (1.0,), (task.units, task.product), (1.0, task.product, round(task.units)):
+                self.sizes.setdefault(tuple(trait), Ring(20000.0)).add(self.now, took_ms * weight, weight)
         if ending in (Ending.DONE, Ending.ERROR, Ending.FULL):
             health.answered_at = self.now
         advance(HOST, health, signal, self)
