--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -346,19 +346,18 @@
             return self.now >= health.until and task.product.kind is not Kind.ONE_SHOT
         return health.state == "trusted" and not self.silent(host)
 
-    def pick(self, task: Task, allowed: list[Host]) -> Host | None:
-        """Of two drawn at random, the one this gateway's own counts favour."""
+    def pick(self, task: Task, allowed: list[Host], longest: float) -> Host | None:
+        """Of two drawn at random, the one this gateway's own counts favour. Where that one is too slow,
+        the best of all: under load a task should not be refused while another host has room."""
         bearing = [host for host in allowed if self.bears(host)]
         fit = [host for host in bearing if self.fit(host, task)]
         if 2 * len(fit) < len(bearing):
             fit = bearing  # most look bad at once: the cause is shared, and the verdicts do not count
         if not fit:
             return None
-        first = fit.pop(self.chance(len(fit)))
-        if not fit:
-            return first
-        second = fit[self.chance(len(fit))]
-        return second if self.expected(second) < self.expected(first) else first
+        drawn = fit[self.chance(len(fit))], fit[self.chance(len(fit))]
+        host = min(drawn, key=self.expected)
+        return host if self.expected(host) <= longest else min(fit, key=self.expected)
 
     def sent(self, forward: Forward) -> None:
         health = forward.host.health
@@ -569,12 +568,12 @@
     def place(self, task: Task) -> str:
         book = task.customer.book
         quoted_left = min(task.taken_at + task.product.quoted_ms, task.cutoff_at) - self.now
-        host = self.fleet.pick(task, self.allowed(task))
+        longest = self.fleet.longest_queue(TOO_LATE_BEYOND if task.surplus else TOO_LATE)
+        longest *= self.fleet.earning(task)
+        host = self.fleet.pick(task, self.allowed(task), longest)
         if host is None:
             return "nowhere"
         expected = self.fleet.expected(host)
-        longest = self.fleet.longest_queue(TOO_LATE_BEYOND if task.surplus else TOO_LATE)
-        longest *= self.fleet.earning(task)
         own = expected * self.fleet.size(task.product, round(task.units))
         if quoted_left <= 0 or (host.health.outs and (expected > longest or own > LATE * quoted_left)):
             return "nowhere"
