--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -23,6 +23,7 @@
 SILENT_AFTER = 4.0  # mean answer times without a sign of life
 FAIR_TIME = 2.0  # mean answer times: a forward that had less and timed out proves nothing
 PATIENCE = 3.0  # mean answer times before a forward at a silent host is withdrawn to be made again
+OVERTAKEN = 4  # later forwards answered before one that has waited so long: the host has lost it
 SPARE_FORWARDS, SPARE_AT_LEAST = 0.15, 3.0  # further forwards: a part of first ones, and a few more
 FIRST_GUESS, GUESS_WEIGHT = 0.2, 3.0  # an answer's time, of the quoted time, before any; in answers
 TOO_LATE = 0.5  # of the quoted time: where a mean task's answer is expected later, none is begun
@@ -385,6 +386,8 @@
                 self.sizes.setdefault(tuple(trait), Ring(20000.0)).add(self.now, took_ms * weight, weight)
         if ending in (Ending.DONE, Ending.ERROR, Ending.FULL):
             health.answered_at = self.now
+            for other in health.outs:
+                other.overtaken += other.sent_at < forward.sent_at
         advance(HOST, health, signal, self)
         if health.state != before:
             self.log(f"host {before} to {health.state}: {health.failures} failures, {len(health.outs)} out")
@@ -598,10 +601,11 @@
             self.door.wake(PATIENCE * mean, forward)
 
     def pull(self, task: Task) -> None:
-        """Guards against hosts that hang or vanish: where one has answered nothing since it got the task,
-        the forward is withdrawn, and its ending sends the task elsewhere. Other hosts are only slow."""
+        """Guards against hosts that hang, vanish or lose tasks: where one has answered nothing since it got
+        the task, or many that came after it, the forward is withdrawn, and its ending sends the task
+        elsewhere. Other hosts are only slow."""
         forward = task.forwards[-1]
-        if forward.host.health.answered_at > forward.sent_at:
+        if forward.host.health.answered_at > forward.sent_at and forward.overtaken < OVERTAKEN:
             self.watch(forward)
         elif len(task.forwards) < self.leave.most_forwards and self.fleet.spare():
             self.door.withdraw(forward)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -234,6 +234,17 @@
     assert not story.withdrawn
 
 
+def test_a_task_that_a_host_has_lost_is_sent_again_when_many_later_ones_were_answered():
+    story = Story(hosts=1)
+    lost = story.admitted(STAMPED)
+    for step in range(6):
+        story.pass_ms(20)
+        story.admitted(customer=Customer(step))
+        story.ends(Ending.DONE, 20)
+    story.pass_ms(900)
+    assert [forward.task for forward in story.withdrawn] == [lost]
+
+
 def test_failures_in_a_row_set_a_host_aside_but_never_the_whole_fleet():
     story = Story(hosts=3)
     bad = story.hosts[0]
