--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -15,7 +15,8 @@
 
 BUDGET_MS = 20.0  # the design's budget of a call to the counter
 RIDE_MS = 150.0  # a debt to a name waits so long for an add to ride on
-BREAKER_FAILURES, QUARANTINE_MS = 5, 5000.0  # in a row open the breaker; then one trial call
+BREAKER_FAILURES, QUARANTINE_MS = 5, 1500.0  # in a row open the breaker; then one trial call
+CALM_MS = 5000.0  # without a failed call before the counter has room for calls that can wait
 WINDOW_OF_BURST = 2.0  # a window is as long as the rate needs to fill the burst, this many times
 SPELL_SLACK = 0.5  # units a spell may pass the burst by, for the calls' own delays
 LONGEST_NAME_MS, NAMES_LAST = 60000.0, 3.0  # the counter's longest life of a name; windows a name lasts
@@ -154,7 +155,7 @@
 
     def calm(self) -> bool:
         """No call failed for a while, so there is room for calls that can wait."""
-        return self.state == "closed" and self.now - self.failed_at > QUARANTINE_MS
+        return self.state == "closed" and self.now - self.failed_at > CALM_MS
 
     def tally(self, _self) -> str | None:
         self.failures, self.failed_at = self.failures + 1, self.now
