--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -181,8 +181,7 @@
         self.debt, self.pays = 0.0, False  # units owed back to the current name, and a wake to pay them
         self.out = 0
         self.touched_at = now
-        self.seen = Ring(10000.0)  # units added by this gateway, and by all
-        self.share, self.local = 1.0, None  # the emergency bucket, while the counter gives no answers
+        self.local: Bucket | None = None  # the emergency bucket, while the counter gives no answers
         # A ceiling is held by an even share that starts as low as the slack allows: a gateway cannot tell
         # a restart from a first start, and one of every gateway of the set passes it by half the slack.
         rate, burst, start = plan.ceiling_rate, plan.ceiling_burst, plan.ceiling_slack / 2
@@ -202,7 +201,6 @@
             others = total - self.current - call.amount
             mine = 0.0 if call.overdue else call.amount  # a late one's units are in the local bucket
             self.spell = max(0.0, max(0.0, self.spell_at(now) + others) + mine)
-            self.seen.add(now, max(0.0, call.amount), max(0.0, call.amount) + max(0.0, others))
             self.current, self.seen_at, self.local = total, now, None
         elif call.window == self.window - 1:
             self.previous = total
@@ -211,7 +209,7 @@
         """Guards against a fresh burst whenever the counter fails or comes back: the spell goes on in the
         local bucket, which is made as full as the spell leaves it, and is taken from there again after."""
         if self.local is not None:
-            return (self.local.depth - self.local.room(now)) / self.share
+            return (self.local.depth - self.local.room(now)) * self.spread
         return self.spell - self.plan.rate * (now - self.seen_at)
 
     def surely_over(self, units: float, now: float) -> bool:
@@ -219,13 +217,11 @@
         return self.local is None and self.spell_at(now) + units > self.plan.burst + SPELL_SLACK
 
     def lets_in(self, units: float, now: float) -> bool:
-        """The emergency bucket: an even share of rate and burst, moved towards the share of the use that
-        the totals showed to be ours. Guards against starving customers gathered on few gateways."""
+        """The emergency bucket: an even share of rate and burst."""
         if self.local is None:
-            spell, (own, every) = max(0.0, self.spell_at(now)), self.seen.sums(now)
-            self.share = (own + self.plan.burst / self.spread) / (every + self.plan.burst)
-            rate, burst = self.plan.rate * self.share, self.plan.burst * self.share
-            self.local = Bucket(rate, burst, burst - spell * self.share, now)
+            rate, burst = self.plan.rate / self.spread, self.plan.burst / self.spread
+            level = burst - max(0.0, self.spell_at(now)) / self.spread
+            self.local = Bucket(rate, burst, level, now)
         return self.local.take(units, now)
 
     def estimate(self, now: float) -> float:
