--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -260,7 +260,6 @@
         self.now, self.seat, self.draws, self.cold, self.log = now, seat, 0, cold, log
         self.known: dict[Host, None] = {}
         self.ready: list[Host] = []
-        self.out = 0
         self.products = products
         self.guess_ms = FIRST_GUESS * min(product.quoted_ms for product in products)
         self.pace = Ring(4000.0)  # answer times of tasks made mean ones, and answers, over all hosts
@@ -296,14 +295,9 @@
         return self.pace.mean(self.now, self.guess_ms)
 
     def expected(self, host: Host) -> float:
-        """When a mean task may be answered: this host's pace by its own answers, times the forwards there."""
+        """When a mean task may be answered: this host's pace by its own answers, times our forwards."""
         fleet = self.load.mean(self.now, self.guess_ms)
-        return host.health.pace.mean(self.now, fleet) * self.sharing(host)
-
-    def sharing(self, host: Host) -> float:
-        """A new task, our forwards, and as many by each other gateway as we have at a host on average."""
-        others = (self.seat.gateways - 1) * self.out / max(1, len(self.ready))
-        return 1.0 + len(host.health.outs) + others
+        return host.health.pace.mean(self.now, fleet) * (len(host.health.outs) + 1)
 
     def longest_queue(self, part: float) -> float:
         """Guards against queues in which every answer comes too late, and hosts overdriven by them. All
@@ -371,14 +365,12 @@
         health = forward.host.health
         advance(HOST, health, "quarantine over", self)
         health.outs[forward] = None
-        self.out += 1
         health.last_sent_at = self.now
         self.sends.add(self.now, *((1.0, 0.0) if len(forward.task.forwards) == 1 else (0.0, 1.0)))
 
     def ended(self, forward: Forward, took_ms: float) -> None:
         health = forward.host.health
         health.outs.pop(forward, None)
-        self.out -= 1
         ending, before, task = forward.ending, health.state, forward.task
         size = self.size(task.product, round(task.units))
         signal = "answered" if ending in (Ending.DONE, Ending.FULL) else "failed"
@@ -386,8 +378,9 @@
         if hurried or ending is Ending.MOOT:
             signal = "unproved"  # a client in a hurry says nothing of the host
         elif ending in (Ending.DONE, Ending.TIMEOUT, Ending.WITHDRAWN):
-            health.pace.add(self.now, took_ms / size, forward.sharing)
-            self.load.add(self.now, took_ms / size, forward.sharing)
+            shared = forward.queue_at_send + 1.0
+            health.pace.add(self.now, took_ms / size, shared)
+            self.load.add(self.now, took_ms / size, shared)
             self.pace.add(self.now, took_ms / size, 1.0)
             self.earned.add(self.now, task.product.benefit * task.units, size)
             for weight, *trait in (1.0,), (task.units, task.product), (1.0, task.product, round(task.units)):
@@ -590,7 +583,7 @@
             return "nowhere"
         if not task.forwards and book.ceiling is not None and not book.ceiling.take(task.units, self.now):
             return "nowhere"
-        forward = Forward(task, host, self.now, self.fleet.sharing(host))
+        forward = Forward(task, host, self.now, len(host.health.outs))
         task.forwards.append(forward)
         task.out += 1
         book.out += 1
--- a/granitedock/policy/interface.py
+++ b/granitedock/policy/interface.py
@@ -147,7 +147,7 @@
     task: Task
     host: Host
     sent_at: float
-    sharing: float  # the forwards it shares its host with, itself among them, as far as can be told
+    queue_at_send: int
     overtaken: int = 0
     ending: Ending | None = None
 
