--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -26,8 +26,8 @@
 PATIENCE = 3.0  # mean answer times before a forward at a silent host is withdrawn to be made again
 OVERTAKEN = 4  # later forwards answered before one that has waited so long: the host has lost it
 SPARE_FORWARDS, SPARE_AT_LEAST = 0.15, 3.0  # further forwards: a part of first ones, and a few more
-FIRST_GUESS, GUESS_WEIGHT = 0.2, 3.0  # an answer's time, of the quoted time, before any; in answers
-TOO_LATE = 0.5  # of the quoted time: where a mean task's answer is expected later, none is begun
+FIRST_GUESS, GUESS_WEIGHT = 0.3, 3.0  # an answer's time, of the quoted time, before any; in answers
+TOO_LATE = 0.45  # of the quoted time: where a mean task's answer is expected later, none is begun
 TOO_LATE_BEYOND = 0.25  # the same for tasks beyond the quota, which only get room that is spare
 LATE = 0.8  # of the time left: a task whose own answer is expected later is not begun
 
