A host back from silence counts as cold from its trial; 560 lines

Guards against a restart that the roster has not told yet, whatever silenced the host; it may waste a warm host's capacity for a while after a hang.

--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -76,7 +76,7 @@
     ("aside", "answered"): ("trusted", "clear"),
     ("on trial", "unproved"): ("aside", None),
     ("on trial", "failed"): ("aside", "set_aside"),
-    ("on trial", "answered"): ("trusted", "clear"),
+    ("on trial", "answered"): ("trusted", "let_back"),
 }
 
 
@@ -176,6 +176,7 @@
         longest = LONGEST_NAME_MS / NAMES_LAST
         fills_in = plan.burst / plan.rate if plan.rate > 0 else longest
         self.window_ms = min(longest, max(1000.0, WINDOW_OF_BURST * fills_in))
+        self.allowance = plan.rate * self.window_ms + plan.burst
         self.window, self.current, self.previous = -1, 0.0, 0.0
         self.spell, self.seen_at = 0.0, now  # units used in this spell beyond what the rate has paid
         self.debt, self.pays = 0.0, False  # units owed back to the current name, and a wake to pay them
@@ -184,9 +185,8 @@
         self.local: Bucket | None = None  # the emergency bucket, while the counter gives no answers
         # A ceiling is held by an even share that starts as low as the slack allows: a gateway cannot tell
         # a restart from a first start, and one of every gateway of the set passes it by half the slack.
-        rate, burst, start = plan.ceiling_rate, plan.ceiling_burst, plan.ceiling_slack / 2
-        capped = Bucket(rate / self.spread, burst / self.spread, start / self.spread, now)
-        self.ceiling = capped if rate > 0 else None
+        full = plan.ceiling_rate, plan.ceiling_burst, plan.ceiling_slack / 2
+        self.ceiling = Bucket(*(units / self.spread for units in full), now) if full[0] > 0 else None
 
     def turn(self, now: float) -> None:
         """Come to the window of now; the previous count is the last total told of that name."""
@@ -228,14 +228,11 @@
         remaining = self.window_ms - now % self.window_ms
         return self.current + self.previous * remaining / self.window_ms
 
-    def allowance(self) -> float:
-        return self.plan.rate * self.window_ms + self.plan.burst
-
     def over(self, now: float) -> bool:
         """The design's estimate against the allowance; and the same allowance over the spell since the
         customer was last at rest. Guards against the second burst that a window of any length lets
         through; acts whenever a customer uses more at once than its burst."""
-        return self.estimate(now) > self.allowance() or self.spell > self.plan.burst + SPELL_SLACK
+        return self.estimate(now) > self.allowance or self.spell > self.plan.burst + SPELL_SLACK
 
     def name(self, customer: Customer) -> int:
         """The same at every gateway and after a restart, and apart for each window."""
@@ -246,7 +243,7 @@
     """What this gateway knows of one host from its own forwards."""
 
     def __init__(self, now: float) -> None:
-        self.state, self.failures, self.until = "trusted", 0, 0.0
+        self.state, self.failures, self.until, self.back_at = "trusted", 0, 0.0, 0.0
         self.outs: dict[Forward, None] = {}
         self.pace = Ring(4000.0)  # answer times, and the forwards they shared the host with
         self.answered_at = now
@@ -310,10 +307,11 @@
         return 0.5 + 0.5 * min(1.0, own / self.earned.mean(self.now, own)) if own > 0 else 0.5
 
     def warmth(self, host: Host) -> float:
-        """The part of its capacity that a host is proved to have by its age."""
-        if not host.started_at or self.cold.warm_after_ms <= 0:
+        """The part of capacity proved by age; one back from silence may have started unheard at its trial."""
+        began = max(host.started_at, host.health.back_at)
+        if not began or self.cold.warm_after_ms <= 0:
             return 1.0
-        age = max(0.0, self.now - host.started_at) / self.cold.warm_after_ms
+        age = max(0.0, self.now - began) / self.cold.warm_after_ms
         return min(1.0, self.cold.start_share + (1.0 - self.cold.start_share) * age)
 
     def bears(self, host: Host) -> bool:
@@ -403,6 +401,9 @@
     def clear(self, health: Health) -> None:
         health.failures = 0
 
+    def let_back(self, health: Health) -> None:
+        health.failures, health.back_at = 0, self.now
+
     def spare(self) -> bool:
         """Guards against a storm of further forwards on a fleet that is slow as a whole."""
         first, further = self.sends.sums(self.now)
@@ -427,8 +428,6 @@
         self.fleet = Fleet(now, seat, goods, cold, door.log)
         self.books: dict[Customer, None] = {}  # the longest untouched first
 
-    # Inputs.
-
     def at(self, now: float) -> None:
         self.now = self.fleet.now = self.breaker.now = now
 
@@ -637,16 +636,16 @@
         right = "yes" if ran is None else MAY_HAVE_RUN[task.product.kind][1]
         if right == "whole group" and task.product.group is Group.ALL:
             right = "yes" if self.now - ran.sent_at < task.product.group_ms else "no"
-        if right != "yes":
+        if right == "yes":
+            self.door.defer(task, self.come_back_ms(task) if self.leave.retry_after else None)
+        else:
             self.door.error(task)
-            return
-        self.door.defer(task, self.come_back_ms(task) if self.leave.retry_after else None)
 
     def come_back_ms(self, task: Task) -> float:
         book, plan = task.customer.book, task.plan
         wait = self.fleet.mean_answer()
         if plan.rate > 0:
-            wait = max(wait, (book.estimate(self.now) + task.units - book.allowance()) / plan.rate)
+            wait = max(wait, (book.estimate(self.now) + task.units - book.allowance) / plan.rate)
             wait = max(wait, (book.spell - plan.burst) / plan.rate)
         if book.ceiling is not None and not task.forwards:
             wait = max(wait, (task.units - book.ceiling.room(self.now)) / book.ceiling.rate)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -263,6 +263,21 @@
     assert len(story.forwards) == 30
 
 
+def test_a_host_back_from_silence_counts_as_cold_from_its_trial():
+    story = Story(hosts=1)
+    host = story.hosts[0]
+    for step in range(3):
+        story.admitted(ONE_SHOT, customer=Customer(step))
+        story.ends(Ending.RESET, 300)
+    assert host.health.state == "aside"
+    story.pass_ms(3100)
+    story.admitted(customer=Customer(9))
+    story.ends(Ending.DONE, 20)
+    assert host.health.state == "trusted" and story.gateway.fleet.warmth(host) < 0.3
+    story.pass_ms(10000)
+    assert story.gateway.fleet.warmth(host) == 1.0
+
+
 def test_a_queue_in_which_answers_come_too_late_is_not_joined():
     story = Story(hosts=1)
     for step in range(12):
