Bounded draws by registered size, a ration of counter calls, stale tries last

Tried and dropped: a spell measured from a name's start, with emergency units of wide sets standing for themselves and taken where there is any room. Cause: a host without a forward of ours was always tried, so with many gateways nothing held overload back. Change: an answer expected too late is begun by a chance that falls with the lateness. Cause: hosts busy with what was too late.

Hurts: a fleet whose registered sizes are wrong; a first try whose client has unusually little time may be taken for a later one while the counter is crowded.

--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -1,41 +1,43 @@
 """All decisions of granitedock, read aloud after outages.
 
-How it is called: a carrier makes one Gateway per api gateway, sets its clock with `at` before each
-batch, and calls roster, take, ended, started, client_gone, counted and woke; what the gateway decides
-goes out through the Door it was given. Types and the Door's protocol: granitedock/policy/interface.py.
-What is kept of the design, what was changed and why: docs/design.md.
+How it is called: a carrier makes one Gateway per api gateway, sets its clock with `at` before each batch, and
+calls roster, take, ended, started, client_gone, counted and woke; what is decided goes out through the Door.
+Interface: granitedock/policy/interface.py. What is kept of the design, what changed and why: docs/design.md.
 """
 
 from __future__ import annotations
 
 import zlib
+from bisect import bisect
+from itertools import accumulate
 
 from granitedock.policy.interface import Call, Cold, Customer, Door, Ending, Forward, Group, Host, Kind
 from granitedock.policy.interface import Leave, Plan, Product, Seat, Sighting, Status, Task
+from granitedock.ring import Ring
 
 BUDGET_MS = 20.0  # the design's budget of a call to the counter
-RIDE_MS = 150.0  # a debt to a name waits so long for an add to ride on
 BREAKER_FAILURES, QUARANTINE_MS = 5, 1500.0  # in a row open the breaker; then one trial call
 CALM_MS = 5000.0  # without a failed call before the counter has room for calls that can wait
+RATION_LESS, RATION_MORE, LEAST_RATION = 0.9, 0.04, 0.1  # of the tasks counted: after a failure, a success
 WINDOW_OF_BURST = 2.0  # a window is as long as the rate needs to fill the burst, this many times
 SPELL_SLACK = 0.5  # units a spell may pass the burst by, for the calls' own delays
 LONGEST_NAME_MS, NAMES_LAST = 60000.0, 3.0  # the counter's longest life of a name; windows a name lasts
 HOST_FAILURES, ASIDE_MS = 3, 3000.0  # in a row set a host aside; then one trial task
-SILENT_AFTER = 4.0  # mean answer times without a sign of life
-FAIR_TIME = 2.0  # mean answer times: a forward that had less and timed out proves nothing
+REFUSED_MS, LONGEST_REFUSED_MS = 1000.0, 8000.0  # a plan's tasks stay away from a host that was full
+SILENT_AFTER, FAIR_TIME = 4.0, 2.0  # mean answer times: no sign of life; a shorter time-out proves nothing
 PATIENCE = 3.0  # mean answer times before a forward at a silent host is withdrawn to be made again
-OVERTAKEN = 4  # later forwards answered before one that has waited so long: the host has lost it
+DRAWS = 12  # hosts looked at for one task at most, however large the fleet
 SPARE_FORWARDS, SPARE_AT_LEAST = 0.15, 3.0  # further forwards: a part of first ones, and a few more
 FIRST_GUESS, GUESS_WEIGHT = 0.3, 12.0  # an answer's time, of the quoted time, before any; in answers
-TOO_LATE = 0.45  # of the quoted time: where a mean task's answer is expected later, none is begun
-TOO_LATE_BEYOND = 0.25  # the same for tasks beyond the quota, which only get room that is spare
-LATE = 0.8  # of the time left: a task whose own answer is expected later is not begun
+TOO_LATE, LATE = 0.45, 0.8  # of the quoted time, for a mean answer; of the time left, for a task's own
+TOO_LATE_BEYOND = 0.25  # as TOO_LATE, for tasks beyond the quota, which only get room that is spare
 
 # A task: state and input give the next state and the effect, whose result is the next input.
 TASK = {
     ("new", "arrived"): ("counting", "ask"),
     ("counting", "within"): ("placing", "place"),
     ("counting", "over"): ("placing", "beyond"),
+    ("counting", "stale"): ("over", "give_up"),
     ("counting", "unanswered"): ("counting", "emergency"),
     ("counting", "client gone"): ("over", "refund"),
     ("placing", "sent"): ("out", None),
@@ -57,6 +59,7 @@
     Kind.STAMPED: ("group", "whole group"),
     Kind.ONE_SHOT: ("no", "no"),
 }
+GROUP_OF = {Group.ZONE: lambda host: host.zone, Group.CELL: lambda host: host.cell}
 NEVER_RAN = frozenset({Ending.FULL, Ending.UNREACHED, Ending.MOOT})
 
 BREAKER = {
@@ -90,32 +93,6 @@
         signal = getattr(acts, effect)(thing) if effect else None
 
 
-class Ring:
-    """Sums over the last span, in fixed buckets of time used again in a ring."""
-
-    def __init__(self, span_ms: float, buckets: int = 8) -> None:
-        self.step = span_ms / buckets
-        self.stamps = [-1] * buckets
-        self.cells = [(0.0, 0.0)] * buckets
-
-    def add(self, now: float, first: float, second: float) -> None:
-        stamp = int(now // self.step)
-        at = stamp % len(self.cells)
-        old = self.cells[at] if self.stamps[at] == stamp else (0.0, 0.0)
-        self.stamps[at] = stamp
-        self.cells[at] = (old[0] + first, old[1] + second)
-
-    def sums(self, now: float) -> tuple[float, float]:
-        oldest = int(now // self.step) - len(self.cells)
-        live = [cell for stamp, cell in zip(self.stamps, self.cells) if stamp > oldest]
-        return sum(cell[0] for cell in live), sum(cell[1] for cell in live)
-
-    def mean(self, now: float, guess: float) -> float:
-        """First by second, begun with a guess that counts as a few answers."""
-        first, second = self.sums(now)
-        return (first + guess * GUESS_WEIGHT) / (second + GUESS_WEIGHT)
-
-
 class Bucket:
     """A store of units that fills at a rate up to its depth."""
 
@@ -130,7 +107,7 @@
     def take(self, units: float, now: float) -> bool:
         """A task larger than the depth takes a full store, and leaves it owing."""
         lets = self.room(now) >= min(units, self.depth)
-        self.level -= units if lets else 0.0
+        self.level -= units * lets
         return lets
 
 
@@ -139,7 +116,7 @@
 
     def __init__(self, log) -> None:
         self.state, self.failures, self.until, self.now, self.log = "closed", 0, 0.0, 0.0, log
-        self.failed_at = float("-inf")
+        self.failed_at, self.ration, self.credit = float("-inf"), 1.0, 1.0
 
     def tell(self, signal: str) -> None:
         before = self.state
@@ -148,24 +125,30 @@
             self.log(f"breaker {before} to {self.state}: {self.failures} failures in a row")
 
     def lets_call(self) -> bool:
+        """Guards against a counter that gets more calls than it can answer: all answers would be late, and
+        none count. Each gateway counts a part of its tasks, which failures cut and successes let grow."""
+        self.credit = min(2.0, self.credit + self.ration)
         if self.state == "open" and self.now >= self.until:
             self.tell("quarantine over")
             return True
-        return self.state == "closed"
+        lets = self.state == "closed" and self.credit >= 1.0
+        self.credit -= lets
+        return lets
 
     def calm(self) -> bool:
-        """No call failed for a while, so there is room for calls that can wait."""
-        return self.state == "closed" and self.now - self.failed_at > CALM_MS
+        """All tasks are counted, and no call failed for a while: there is room for calls that can wait."""
+        return self.ration >= 1.0 and self.now - self.failed_at > CALM_MS
 
     def tally(self, _self) -> str | None:
         self.failures, self.failed_at = self.failures + 1, self.now
+        self.ration = max(LEAST_RATION, RATION_LESS * self.ration)
         return "tripped" if self.failures >= BREAKER_FAILURES else None
 
     def quarantine(self, _self) -> None:
         self.until = self.now + QUARANTINE_MS
 
     def reset(self, _self) -> None:
-        self.failures = 0
+        self.failures, self.ration = 0, min(1.0, self.ration + RATION_MORE)
 
 
 class Book:
@@ -179,9 +162,8 @@
         self.allowance = plan.rate * self.window_ms + plan.burst
         self.window, self.current, self.previous = -1, 0.0, 0.0
         self.spell, self.seen_at = 0.0, now  # units used in this spell beyond what the rate has paid
-        self.debt, self.pays = 0.0, False  # units owed back to the current name, and a wake to pay them
-        self.out = 0
-        self.touched_at = now
+        self.debt = 0.0  # units owed back to the current name
+        self.out, self.touched_at = 0, now
         self.local: Bucket | None = None  # the emergency bucket, while the counter gives no answers
         # A ceiling is held by an even share that starts as low as the slack allows: a gateway cannot tell
         # a restart from a first start, and one of every gateway of the set passes it by half the slack.
@@ -207,7 +189,7 @@
 
     def spell_at(self, now: float) -> float:
         """Guards against a fresh burst whenever the counter fails or comes back: the spell goes on in the
-        local bucket, which is made as full as the spell leaves it, and is taken from there again after."""
+        emergency bucket, which is made as full as it leaves it, and is taken from there again."""
         if self.local is not None:
             return (self.local.depth - self.local.room(now)) * self.spread
         return self.spell - self.plan.rate * (now - self.seen_at)
@@ -224,15 +206,12 @@
             self.local = Bucket(rate, burst, level, now)
         return self.local.take(units, now)
 
-    def estimate(self, now: float) -> float:
-        remaining = self.window_ms - now % self.window_ms
-        return self.current + self.previous * remaining / self.window_ms
-
     def over(self, now: float) -> bool:
-        """The design's estimate against the allowance; and the same allowance over the spell since the
-        customer was last at rest. Guards against the second burst that a window of any length lets
-        through; acts whenever a customer uses more at once than its burst."""
-        return self.estimate(now) > self.allowance or self.spell > self.plan.burst + SPELL_SLACK
+        """The design's estimate against the allowance, and the same allowance over the spell. Guards against
+        the second burst that a window of any length lets through, where a burst is used at once."""
+        remaining = 1.0 - now % self.window_ms / self.window_ms
+        estimate = self.current + self.previous * remaining
+        return estimate > self.allowance or self.spell > self.plan.burst + SPELL_SLACK
 
     def name(self, customer: Customer) -> int:
         """The same at every gateway and after a restart, and apart for each window."""
@@ -246,8 +225,8 @@
         self.state, self.failures, self.until, self.back_at = "trusted", 0, 0.0, 0.0
         self.outs: dict[Forward, None] = {}
         self.pace = Ring(4000.0)  # answer times, and the forwards they shared the host with
-        self.answered_at = now
-        self.last_sent_at = -LONGEST_NAME_MS
+        self.refuses: dict[Plan, tuple] = {}  # until when it is taken to refuse a plan, and for how long
+        self.answered_at, self.last_sent_at = now, -LONGEST_NAME_MS
 
 
 class Fleet:
@@ -256,7 +235,9 @@
     def __init__(self, now: float, seat: Seat, products: list[Product], cold: Cold, log) -> None:
         self.now, self.seat, self.draws, self.cold, self.log = now, seat, 0, cold, log
         self.known: dict[Host, None] = {}
-        self.ready: list[Host] = []
+        self.ready, self.reach = [], []  # the ready hosts, and their registered sizes added up
+        self.turn, self.mine, self.warm = -1, [], 0  # this turn: the cold hosts that are ours, the warm ones
+        self.shared = False  # most hosts look bad at once
         self.products = products
         self.guess_ms = FIRST_GUESS * min(product.quoted_ms for product in products)
         self.pace = Ring(4000.0)  # answer times of tasks made mean ones, and answers, over all hosts
@@ -277,6 +258,14 @@
             host.started_at, host.status = seen.started_at, seen.status
             self.known[host] = None
         self.ready = [host for host in self.known if host.status is Status.READY]
+        self.reach = list(accumulate(max(host.size, 1e-9) for host in self.ready))
+        self.turn = -1
+
+    def draw(self, hosts: list[Host]) -> Host:
+        """One at random; of all the ready ones each by its registered size, so that a host gets what it can
+        bear where there are too many gateways or hosts for a gateway's own counts to say much."""
+        reach = self.reach if hosts is self.ready else range(1, len(hosts) + 1)
+        return hosts[bisect(reach, self.chance(2**32) / 2**32 * reach[-1])]
 
     def chance(self, sides: int) -> int:
         self.draws += 1
@@ -285,16 +274,16 @@
     def size(self, *trait) -> float:
         """How long tasks with this trait take, in mean tasks: by product and units, or by product alone;
         there a task counts by its units, since the larger ones earn more and must come in time too."""
-        mean = self.sizes[()].mean(self.now, self.guess_ms)
-        return self.sizes[trait].mean(self.now, mean) / mean if trait in self.sizes else 1.0
+        mean = self.sizes[()].mean(self.now, GUESS_WEIGHT, self.guess_ms)
+        return self.sizes[trait].mean(self.now, GUESS_WEIGHT, mean) / mean if trait in self.sizes else 1.0
 
     def mean_answer(self) -> float:
-        return self.pace.mean(self.now, self.guess_ms)
+        return self.pace.mean(self.now, GUESS_WEIGHT, self.guess_ms)
 
     def expected(self, host: Host) -> float:
         """When a mean task may be answered: this host's pace by its own answers, times our forwards."""
-        fleet = self.load.mean(self.now, self.guess_ms)
-        return host.health.pace.mean(self.now, fleet) * (len(host.health.outs) + 1)
+        fleet = self.load.mean(self.now, GUESS_WEIGHT, self.guess_ms)
+        return host.health.pace.mean(self.now, GUESS_WEIGHT, fleet) * (len(host.health.outs) + 1)
 
     def longest_queue(self, part: float) -> float:
         """Guards against queues in which every answer comes too late, and hosts overdriven by them. All
@@ -304,7 +293,7 @@
     def earning(self, task: Task) -> float:
         """Under load, tasks that earn less for their time than the mean one wait behind shorter queues."""
         own = task.product.benefit * task.units / self.size(task.product, round(task.units))
-        return 0.5 + 0.5 * min(1.0, own / self.earned.mean(self.now, own)) if own > 0 else 0.5
+        return 0.5 + 0.5 * min(1.0, own / self.earned.mean(self.now, GUESS_WEIGHT, own)) if own > 0 else 0.5
 
     def warmth(self, host: Host) -> float:
         """The part of capacity proved by age; one back from silence may have started unheard at its trial."""
@@ -314,57 +303,73 @@
         age = max(0.0, self.now - began) / self.cold.warm_after_ms
         return min(1.0, self.cold.start_share + (1.0 - self.cold.start_share) * age)
 
+    def take_turns(self) -> None:
+        """Once in a turn: which cold hosts are this gateway's; gateways take turns by their number."""
+        turn = int(self.now // max(1.0, self.cold.tip_after_ms))
+        if turn != self.turn:
+            cold = [host for host in self.ready if self.warmth(host) < 1.0]
+            self.turn, self.warm = turn, len(self.ready) - len(cold)
+            bad = sum(host.health.state != "trusted" or self.silent(host) for host in self.ready)
+            self.shared = 2 * bad > len(self.ready)
+            number, gateways = self.seat.number, self.seat.gateways
+            self.mine = [host for host in cold if (turn + int(host.started_at)) % gateways == number]
+
     def bears(self, host: Host) -> bool:
-        """Guards against pushing over a cold host: gateways take turns at it by their number, and send in
-        a turn what its proved part would get of a warm host's share; where none is warm, one at a time."""
+        """Guards against pushing over a cold host: in its turn at it a gateway sends what the proved part
+        would get of a warm host's share; where none is warm, each sends one at a time."""
         part = self.warmth(host)
         if part >= 1.0:
             return True
-        if host.health.outs:
+        if host.health.outs or (self.warm and host not in self.mine):
             return False
-        warm = sum(1 for other in self.ready if self.warmth(other) >= 1.0)
-        if not warm:
-            return True
-        if int(self.now // self.cold.tip_after_ms) % self.seat.gateways != self.seat.number:
-            return False
-        first, further = self.sends.sums(self.now)
-        mean = (first + further) / 5000.0 / warm
-        return (self.now - host.health.last_sent_at) * part * mean * self.seat.gateways >= 1.0
+        mean = sum(self.sends.sums(self.now)) / 5000.0 / max(1, self.warm)
+        due = (self.now - host.health.last_sent_at) * part * mean * self.seat.gateways
+        return due >= 1.0 or not self.warm
 
     def silent(self, host: Host) -> bool:
         """Guards against hosts that take tasks and answer none, and machines that vanish unheard."""
-        health = host.health
-        if not health.outs:
-            return False
-        since = max(health.answered_at, next(iter(health.outs)).sent_at)
+        outs, answered_at = host.health.outs, host.health.answered_at
+        since = max(answered_at, next(iter(outs)).sent_at) if outs else self.now
         return self.now - since > SILENT_AFTER * self.mean_answer()
 
     def fit(self, host: Host, task: Task) -> bool:
+        """Whether the verdicts speak for it; where most hosts look bad at once, the cause is shared, and
+        only one that lets a host back with a trial counts."""
         health = host.health
-        if health.state == "aside":
-            # One trial lets a host back; never with a task that could not be sent again.
+        if self.now < health.refuses.get(task.plan, (0.0, 0.0))[0]:
+            return False
+        if health.state == "aside" and not self.shared:
             return self.now >= health.until and task.product.kind is not Kind.ONE_SHOT
-        return health.state == "trusted" and not self.silent(host)
-
-    def pick(self, task: Task, allowed: list[Host], longest: float) -> Host | None:
-        """Of two drawn at random, the one this gateway's own counts favour. Where that one is too slow,
-        the best of all: under load a task should not be refused while another host has room."""
-        bearing = [host for host in allowed if self.bears(host)]
-        fit = [host for host in bearing if self.fit(host, task)]
-        if 2 * len(fit) < len(bearing):
-            fit = bearing  # most look bad at once: the cause is shared, and the verdicts do not count
-        if not fit:
-            return None
-        drawn = fit[self.chance(len(fit))], fit[self.chance(len(fit))]
-        host = min(drawn, key=self.expected)
-        return host if self.expected(host) <= longest else min(fit, key=self.expected)
+        return self.shared or (health.state == "trusted" and not self.silent(host))
+
+    def pick(self, task: Task, hosts: list[Host], longest: float) -> Host | None:
+        """Of two drawn at random, the one this gateway's own counts favour. Where that one is too slow or
+        unfit, more are drawn, since a task should not be refused while another host has room. A cold host
+        whose turn it is comes first."""
+        self.take_turns()
+        tried = [forward.host for forward in task.forwards] if len(hosts) > len(task.forwards) else []
+        best, spurned, fit = None, None, 0
+        for draw in range(-len(self.mine), DRAWS) if hosts else ():
+            host = self.mine[draw] if draw < 0 else self.draw(hosts)
+            if host in tried or not self.bears(host) or (draw < 0 and hosts is not self.ready):
+                continue
+            if not self.fit(host, task):
+                spurned = host
+                continue
+            fit += 1
+            if best is None or self.expected(host) < self.expected(best):
+                best = host
+            if (fit >= 2 or draw < 0) and self.expected(best) <= longest:
+                break
+        return best or spurned
 
     def sent(self, forward: Forward) -> None:
         health = forward.host.health
         advance(HOST, health, "quarantine over", self)
         health.outs[forward] = None
         health.last_sent_at = self.now
-        self.sends.add(self.now, *((1.0, 0.0) if len(forward.task.forwards) == 1 else (0.0, 1.0)))
+        free = [other.ending in NEVER_RAN for other in forward.task.forwards[:-1]]
+        self.sends.add(self.now, float(not free), float(not all(free)))
 
     def ended(self, forward: Forward, took_ms: float) -> None:
         health = forward.host.health
@@ -372,10 +377,18 @@
         ending, before, task = forward.ending, health.state, forward.task
         size = self.size(task.product, round(task.units))
         signal = "answered" if ending in (Ending.DONE, Ending.FULL) else "failed"
+        if ending is Ending.FULL:
+            # Guards against hosts that refuse for want of room, or one plan's tasks only: that plan's go
+            # elsewhere, each time for longer. Hurts where there is room sooner than that.
+            longer = min(2.0 * health.refuses.get(task.plan, (0.0, REFUSED_MS / 2))[1], LONGEST_REFUSED_MS)
+            health.refuses[task.plan] = self.now + longer, longer
+        elif ending is Ending.DONE:
+            health.refuses.pop(task.plan, None)
         hurried = ending is Ending.TIMEOUT and took_ms < FAIR_TIME * self.mean_answer()
         if hurried or ending is Ending.MOOT:
             signal = "unproved"  # a client in a hurry says nothing of the host
         elif ending in (Ending.DONE, Ending.TIMEOUT, Ending.WITHDRAWN):
+            took_ms = took_ms if ending is Ending.DONE else min(took_ms, task.product.quoted_ms)
             shared = forward.queue_at_send + 1.0
             health.pace.add(self.now, took_ms / size, shared)
             self.load.add(self.now, took_ms / size, shared)
@@ -385,8 +398,6 @@
                 self.sizes.setdefault(tuple(trait), Ring(20000.0)).add(self.now, took_ms * weight, weight)
         if ending in (Ending.DONE, Ending.ERROR, Ending.FULL):
             health.answered_at = self.now
-            for other in health.outs:
-                other.overtaken += other.sent_at < forward.sent_at
         advance(HOST, health, signal, self)
         if health.state != before:
             self.log(f"host {before} to {health.state}: {health.failures} failures, {len(health.outs)} out")
@@ -414,17 +425,11 @@
     """One api gateway: every task's way from its taking to its one final answer."""
 
     def __init__(
-        self,
-        door: Door,
-        now: float,
-        seat: Seat,
-        goods: list[Product],
-        leave: Leave,
-        cold: Cold,
-        counter: bool,
+        self, door: Door, now: float, seat: Seat, goods: list, leave: Leave, cold: Cold, counter: bool
     ) -> None:
         self.door, self.now, self.leave, self.has_counter = door, now, leave, counter
         self.breaker = Breaker(door.log)
+        self.lefts, self.usual = {}, {}  # how often each time left was seen, and the most usual, by product
         self.fleet = Fleet(now, seat, goods, cold, door.log)
         self.books: dict[Customer, None] = {}  # the longest untouched first
 
@@ -463,9 +468,7 @@
         forward.ending = ending
         task.out -= 1
         self.fleet.ended(forward, took_ms)
-        book = task.customer.book
-        if book is not None:
-            book.out -= 1
+        task.customer.book.out -= 1
         if ending is Ending.DONE and units > 0 and not task.surplus:
             self.settle(task.call, units - task.units)
         advance(TASK, task, "served" if final else "lost", self)
@@ -476,11 +479,9 @@
     def client_gone(self, task: Task) -> None:
         advance(TASK, task, "client gone", self)
 
-    def woke(self, why: Call | Forward | Customer) -> None:
-        """The budget of a call is up, a forward has been out for long, or a debt found no ride."""
-        if isinstance(why, Customer):
-            self.pay(why)
-        elif isinstance(why, Forward):
+    def woke(self, why: Call | Forward) -> None:
+        """The budget of a call is up, or a forward has been out for long."""
+        if isinstance(why, Forward):
             if why.ending is None:
                 advance(TASK, why.task, "stuck", self)
         elif not why.answered and not why.overdue:
@@ -488,10 +489,10 @@
             self.breaker.tell("failed")
             advance(TASK, why.task, "unanswered", self)
 
-    # Effects of the quota path.
-
     def ask(self, task: Task) -> str | None:
         book, plan = task.customer.book, task.plan
+        if self.stale(task) and not self.breaker.calm():
+            return "stale"
         if plan.most_out and book.out >= max(1, plan.most_out // book.spread):
             return "over"
         if plan.rate <= 0:
@@ -506,6 +507,16 @@
         self.door.wake(max(0.0, min(BUDGET_MS, (task.cutoff_at - self.now) / 2)), task.call)
         return None
 
+    def stale(self, task: Task) -> bool:
+        """Guards a crowded counter against later tries that come when the quoted time is over: such a task
+        has less time left than most of its product have, by as much as its client has waited."""
+        product, left = task.product, int((task.cutoff_at - task.taken_at) // 50.0)
+        seen = self.lefts.setdefault(product, {})
+        seen[left] = seen.get(left, 0) + 1
+        usual = self.usual[product] = max(left, self.usual.get(product, left), key=seen.__getitem__)
+        waited = product.cutoff_ms - left * 50.0 if left < usual - 1 else 0.0
+        return waited > product.quoted_ms and not product.late_benefit
+
     def emergency(self, task: Task) -> str:
         return "within" if task.customer.book.lets_in(task.units, self.now) else "over"
 
@@ -522,27 +533,14 @@
             self.settle(call, -task.units)
 
     def settle(self, call: Call | None, units: float) -> None:
-        """Owe the units to the name the task was counted under. They ride on the next add to it, so that
-        refusals do not crowd the counter; a debt that finds no ride in time is paid by a call of its own
-        while the counter is calm."""
+        """Owe units to the name the task was counted under. They ride on the next add to it, so that refusals
+        do not crowd the counter, or are paid by a call of their own while the counter is calm."""
         book = call.customer.book if call is not None else None
         if book is not None and call.window == book.window and units:
             book.debt -= units
-            if not book.pays:
-                book.pays = True
-                self.door.wake(RIDE_MS, call.customer)
-
-    def pay(self, customer: Customer) -> None:
-        book = customer.book
-        if book is not None:
-            book.pays = False
-            if (
-                book.debt
-                and self.breaker.state == "closed"
-                and int(self.now // book.window_ms) == book.window
-            ):
+            if self.breaker.calm():
                 amount, book.debt = -book.debt, 0.0
-                self.call(customer, amount)
+                self.call(call.customer, amount)
 
     def call(self, customer: Customer, amount: float) -> Call:
         book = customer.book
@@ -552,8 +550,7 @@
         return call
 
     def book(self, task: Task) -> Book:
-        """The customer's book; one untouched for as long as any name lasts is dropped. Guards against
-        floods of customers seen once."""
+        """The customer's book. Guards against floods of customers seen once: old ones are dropped."""
         customer = task.customer
         if customer.book is None:
             customer.book = Book(task.plan, task.spread, self.now)
@@ -566,19 +563,18 @@
             oldest.book = None
         return customer.book
 
-    # Effects of the way to a host.
-
     def place(self, task: Task) -> str:
         book = task.customer.book
         quoted_left = min(task.taken_at + task.product.quoted_ms, task.cutoff_at) - self.now
-        longest = self.fleet.longest_queue(TOO_LATE_BEYOND if task.surplus else TOO_LATE)
-        longest *= self.fleet.earning(task)
+        part = TOO_LATE_BEYOND if task.surplus else TOO_LATE
+        longest = self.fleet.longest_queue(part) * self.fleet.earning(task)
         host = self.fleet.pick(task, self.allowed(task), longest)
         if host is None:
             return "nowhere"
         expected = self.fleet.expected(host)
         own = expected * self.fleet.size(task.product, round(task.units))
-        if quoted_left <= 0 or (host.health.outs and (expected > longest or own > LATE * quoted_left)):
+        over = max(expected / longest, own / (LATE * quoted_left)) if quoted_left > 0 else 1e9
+        if over > 1.0 and (host.health.outs or self.fleet.chance(1000) * over >= 1000):
             return "nowhere"
         if not task.forwards and book.ceiling is not None and not book.ceiling.take(task.units, self.now):
             return "nowhere"
@@ -587,7 +583,9 @@
         task.out += 1
         book.out += 1
         self.fleet.sent(forward)
-        self.door.forward(forward, None)
+        # Guards against hosts busy with what is too late; a harmless task's client would only ask again.
+        stops = task.product.kind is not Kind.HARMLESS and not task.product.late_benefit
+        self.door.forward(forward, task.taken_at + task.product.quoted_ms if stops else None)
         self.watch(forward)
         return "sent"
 
@@ -601,57 +599,50 @@
             self.door.wake(PATIENCE * mean, forward)
 
     def pull(self, task: Task) -> None:
-        """Guards against hosts that hang, vanish or lose tasks: where one has answered nothing since it got
-        the task, or many that came after it, the forward is withdrawn, and its ending sends the task
-        elsewhere. Other hosts are only slow."""
+        """Guards against hosts that hang, vanish or lose answers: where one has answered nothing since it got
+        the task, the forward is withdrawn, and its ending sends the task elsewhere. Others are only slow."""
         forward = task.forwards[-1]
-        if forward.host.health.answered_at > forward.sent_at and forward.overtaken < OVERTAKEN:
+        if forward.host.health.answered_at > forward.sent_at:
             self.watch(forward)
         elif len(task.forwards) < self.leave.most_forwards and self.fleet.spare():
             self.door.withdraw(forward)
 
     def may_have_run(self, task: Task) -> Forward | None:
-        """The first forward that is not proved never to have run."""
         return next((f for f in task.forwards if f.ending not in NEVER_RAN), None)
 
     def allowed(self, task: Task) -> list[Host]:
-        """The ready hosts that may get the task; not one that it failed at, where there are others."""
+        """The ready hosts that may get the task."""
         hosts, ran, right = self.fleet.ready, self.may_have_run(task), MAY_HAVE_RUN[task.product.kind][0]
-        if task.out or (task.forwards and not self.fleet.spare()):
+        if task.out or not hosts or (ran is not None and not self.fleet.spare()):
             return []
         if len(task.forwards) >= self.leave.most_forwards or (ran is not None and right == "no"):
             return []
         if ran is not None and right == "group":
             if self.now - ran.sent_at >= task.product.group_ms:
                 return []
-            hosts = [host for host in hosts if same_group(task.product.group, host, ran.host)]
-        tried = [forward.host for forward in task.forwards]
-        return [host for host in hosts if host not in tried] or hosts
+            if task.product.group in GROUP_OF:
+                of = GROUP_OF[task.product.group]
+                hosts = [host for host in hosts if of(host) == of(ran.host)]
+        return hosts
 
     def give_up(self, task: Task) -> None:
         """The one final answer, at once: a deferral where trying again is proved harmless."""
-        ran = self.may_have_run(task)
+        ran, product = self.may_have_run(task), task.product
         if not task.forwards:
             self.refund(task)
-        right = "yes" if ran is None else MAY_HAVE_RUN[task.product.kind][1]
-        if right == "whole group" and task.product.group is Group.ALL:
-            right = "yes" if self.now - ran.sent_at < task.product.group_ms else "no"
+        right = "yes" if ran is None else MAY_HAVE_RUN[product.kind][1]
+        if right == "whole group" and product.group is Group.ALL:
+            right = "yes" if self.now - ran.sent_at < product.group_ms else "no"
         if right == "yes":
             self.door.defer(task, self.come_back_ms(task) if self.leave.retry_after else None)
         else:
             self.door.error(task)
 
     def come_back_ms(self, task: Task) -> float:
-        book, plan = task.customer.book, task.plan
-        wait = self.fleet.mean_answer()
-        if plan.rate > 0:
-            wait = max(wait, (book.estimate(self.now) + task.units - book.allowance) / plan.rate)
-            wait = max(wait, (book.spell - plan.burst) / plan.rate)
+        """When the spell, the emergency bucket and the ceiling may have room for the task."""
+        book, waits = task.customer.book, [self.fleet.mean_answer()]
+        if task.plan.rate > 0:
+            waits.append((book.spell_at(self.now) + task.units - task.plan.burst) / task.plan.rate)
         if book.ceiling is not None and not task.forwards:
-            wait = max(wait, (task.units - book.ceiling.room(self.now)) / book.ceiling.rate)
-        return min(wait, self.leave.most_retry_after_ms)
-
-
-def same_group(group: Group, host: Host, other: Host) -> bool:
-    same = {Group.ALL: True, Group.ZONE: host.zone == other.zone, Group.CELL: host.cell == other.cell}
-    return same[group]
+            waits.append((task.units - book.ceiling.room(self.now)) / book.ceiling.rate)
+        return min(max(waits), self.leave.most_retry_after_ms)
--- a/granitedock/policy/interface.py
+++ b/granitedock/policy/interface.py
@@ -148,7 +148,6 @@
     host: Host
     sent_at: float
     queue_at_send: int
-    overtaken: int = 0
     ending: Ending | None = None
 
 
--- /dev/null
+++ b/granitedock/ring.py
@@ -0,0 +1,38 @@
+"""A measure over time: sums over the last span, in fixed buckets of time used again in a ring."""
+
+from __future__ import annotations
+
+
+class Ring:
+    """Pairs of sums over the last span.
+
+    >>> ring = Ring(800.0)
+    >>> ring.add(0.0, 30.0, 1.0)
+    >>> ring.add(700.0, 50.0, 1.0)
+    >>> ring.sums(700.0), ring.sums(1400.0), ring.sums(1600.0)
+    ((80.0, 2.0), (50.0, 1.0), (0, 0))
+    >>> ring.mean(700.0, 2.0, 20.0)
+    30.0
+    """
+
+    def __init__(self, span_ms: float, buckets: int = 8) -> None:
+        self.step = span_ms / buckets
+        self.stamps = [-1] * buckets
+        self.cells = [(0.0, 0.0)] * buckets
+
+    def add(self, now: float, first: float, second: float) -> None:
+        stamp = int(now // self.step)
+        at = stamp % len(self.cells)
+        old = self.cells[at] if self.stamps[at] == stamp else (0.0, 0.0)
+        self.stamps[at] = stamp
+        self.cells[at] = (old[0] + first, old[1] + second)
+
+    def sums(self, now: float) -> tuple[float, float]:
+        oldest = int(now // self.step) - len(self.cells)
+        live = [cell for stamp, cell in zip(self.stamps, self.cells) if stamp > oldest]
+        return sum(cell[0] for cell in live), sum(cell[1] for cell in live)
+
+    def mean(self, now: float, weight: float, guess: float) -> float:
+        """First by second, begun with a guess that counts as so many."""
+        first, second = self.sums(now)
+        return (first + guess * weight) / (second + weight)
