Emergency shares smaller than a task let one in and owe it; a quicker ration; firmer overload

Change: the chance falls with the square of the lateness, and a host that was full counts as one that answers at the quoted time. Cause: of the tries refused, 31 to 42% had half of their quota left: shares of a burst split over a wide set hold less than a task, and once anything was used they let none in; units let in there stood for a whole set's. Cause: at the ration's balance over half of the calls failed, and five in a row opened breakers.

Hurts: customers that use more than their quota get more while the counter is crowded.

--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -18,7 +18,7 @@
 BUDGET_MS = 20.0  # the design's budget of a call to the counter
 BREAKER_FAILURES, QUARANTINE_MS = 5, 1500.0  # in a row open the breaker; then one trial call
 CALM_MS = 5000.0  # without a failed call before the counter has room for calls that can wait
-RATION_LESS, RATION_MORE, LEAST_RATION = 0.9, 0.04, 0.1  # of the tasks counted: after a failure, a success
+RATION_LESS, RATION_MORE, LEAST_RATION = 0.7, 0.02, 0.1  # of the tasks counted: after a failure, a success
 WINDOW_OF_BURST = 2.0  # a window is as long as the rate needs to fill the burst, this many times
 SPELL_SLACK = 0.5  # units a spell may pass the burst by, for the calls' own delays
 LONGEST_NAME_MS, NAMES_LAST = 60000.0, 3.0  # the counter's longest life of a name; windows a name lasts
@@ -105,8 +105,8 @@
         return self.level
 
     def take(self, units: float, now: float) -> bool:
-        """A task larger than the depth takes a full store, and leaves it owing."""
-        lets = self.room(now) >= min(units, self.depth)
+        """A task larger than the depth takes what there is, and leaves it owing."""
+        lets = self.room(now) >= units or (units > self.depth and self.level > 0)
         self.level -= units * lets
         return lets
 
@@ -191,13 +191,10 @@
         """Guards against a fresh burst whenever the counter fails or comes back: the spell goes on in the
         emergency bucket, which is made as full as it leaves it, and is taken from there again."""
         if self.local is not None:
-            return (self.local.depth - self.local.room(now)) * self.spread
+            used = self.local.depth - self.local.room(now)
+            return min(used * self.spread, max(self.plan.burst, used))
         return self.spell - self.plan.rate * (now - self.seen_at)
 
-    def surely_over(self, units: float, now: float) -> bool:
-        """Others can only have added to the spell, so the counter would say no more than this."""
-        return self.local is None and self.spell_at(now) + units > self.plan.burst + SPELL_SLACK
-
     def lets_in(self, units: float, now: float) -> bool:
         """The emergency bucket: an even share of rate and burst."""
         if self.local is None:
@@ -333,8 +330,7 @@
         return self.now - since > SILENT_AFTER * self.mean_answer()
 
     def fit(self, host: Host, task: Task) -> bool:
-        """Whether the verdicts speak for it; where most hosts look bad at once, the cause is shared, and
-        only one that lets a host back with a trial counts."""
+        """Whether the verdicts speak for it; where most hosts look bad, the cause is shared."""
         health = host.health
         if self.now < health.refuses.get(task.plan, (0.0, 0.0))[0]:
             return False
@@ -382,6 +378,8 @@
             # elsewhere, each time for longer. Hurts where there is room sooner than that.
             longer = min(2.0 * health.refuses.get(task.plan, (0.0, REFUSED_MS / 2))[1], LONGEST_REFUSED_MS)
             health.refuses[task.plan] = self.now + longer, longer
+            for pace in (health.pace, self.load):
+                pace.add(self.now, task.product.quoted_ms, 1.0)
         elif ending is Ending.DONE:
             health.refuses.pop(task.plan, None)
         hurried = ending is Ending.TIMEOUT and took_ms < FAIR_TIME * self.mean_answer()
@@ -497,8 +495,9 @@
             return "over"
         if plan.rate <= 0:
             return "within"
-        if not self.breaker.calm() and book.surely_over(task.units, self.now):
-            return "over"  # guards a crowded counter against calls that cannot change the answer
+        over = book.local is None and book.spell_at(self.now) + task.units > plan.burst + SPELL_SLACK
+        if over and not self.breaker.calm():
+            return "over"  # guards a crowded counter: others only add, so a call cannot change the answer
         if not self.has_counter or not self.breaker.lets_call():
             return "unanswered"
         amount, book.debt = task.units - book.debt, 0.0
@@ -573,8 +572,10 @@
             return "nowhere"
         expected = self.fleet.expected(host)
         own = expected * self.fleet.size(task.product, round(task.units))
+        # Guards against overload that a gateway with few forwards cannot see: a host without one is tried by
+        # a chance that falls with the lateness expected of any. Hurts where that is off.
         over = max(expected / longest, own / (LATE * quoted_left)) if quoted_left > 0 else 1e9
-        if over > 1.0 and (host.health.outs or self.fleet.chance(1000) * over >= 1000):
+        if over > 1.0 and (host.health.outs or self.fleet.chance(1000) * over**2 >= 1000):
             return "nowhere"
         if not task.forwards and book.ceiling is not None and not book.ceiling.take(task.units, self.now):
             return "nowhere"
@@ -590,7 +591,6 @@
         return "sent"
 
     def watch(self, forward: Forward) -> None:
-        """Look again at a forward while there is time to make it anew; at a larger task's later."""
         task = forward.task
         if MAY_HAVE_RUN[task.product.kind][0] == "no" or not self.leave.withdraw:
             return
@@ -639,7 +639,6 @@
             self.door.error(task)
 
     def come_back_ms(self, task: Task) -> float:
-        """When the spell, the emergency bucket and the ceiling may have room for the task."""
         book, waits = task.customer.book, [self.fleet.mean_answer()]
         if task.plan.rate > 0:
             waits.append((book.spell_at(self.now) + task.units - task.plan.burst) / task.plan.rate)
