--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -23,14 +23,14 @@
 SPELL_SLACK = 0.5  # units a spell may pass the burst by, for the calls' own delays
 LONGEST_NAME_MS, NAMES_LAST = 60000.0, 3.0  # the counter's longest life of a name; windows a name lasts
 HOST_FAILURES, ASIDE_MS = 3, 3000.0  # in a row set a host aside; then one trial task
-REFUSED_MS, LONGEST_REFUSED_MS = 1000.0, 8000.0  # a plan's tasks stay away from a host that was full
 SILENT_AFTER, FAIR_TIME = 4.0, 2.0  # mean answer times: no sign of life; a shorter time-out proves nothing
 PATIENCE = 3.0  # mean answer times before a forward at a silent host is withdrawn to be made again
 DRAWS = 12  # hosts looked at for one task at most, however large the fleet
 SPARE_FORWARDS, SPARE_AT_LEAST = 0.15, 3.0  # further forwards: a part of first ones, and a few more
 FIRST_GUESS, GUESS_WEIGHT = 0.3, 12.0  # an answer's time, of the quoted time, before any; in answers
 TOO_LATE, LATE = 0.45, 0.8  # of the quoted time, for a mean answer; of the time left, for a task's own
-TOO_LATE_BEYOND = 0.25  # as TOO_LATE, for tasks beyond the quota, which only get room that is spare
+TOO_LATE_UNSURE = 0.35  # as TOO_LATE, for tasks the counter has not let in: under load the others come first
+ENOUGH = 0.4  # forwards of ours at a host, on the mean: with fewer, a host without one may yet be busy
 
 # A task: state and input give the next state and the effect, whose result is the next input.
 TASK = {
@@ -222,7 +222,7 @@
         self.state, self.failures, self.until, self.back_at = "trusted", 0, 0.0, 0.0
         self.outs: dict[Forward, None] = {}
         self.pace = Ring(4000.0)  # answer times, and the forwards they shared the host with
-        self.refuses: dict[Plan, tuple] = {}  # until when it is taken to refuse a plan, and for how long
+        self.refuses: dict[Plan, float] = {}  # until when it is taken to refuse a plan
         self.answered_at, self.last_sent_at = now, -LONGEST_NAME_MS
 
 
@@ -332,7 +332,7 @@
     def fit(self, host: Host, task: Task) -> bool:
         """Whether the verdicts speak for it; where most hosts look bad, the cause is shared."""
         health = host.health
-        if self.now < health.refuses.get(task.plan, (0.0, 0.0))[0]:
+        if self.now < health.refuses.get(task.plan, 0.0):
             return False
         if health.state == "aside" and not self.shared:
             return self.now >= health.until and task.product.kind is not Kind.ONE_SHOT
@@ -375,13 +375,10 @@
         signal = "answered" if ending in (Ending.DONE, Ending.FULL) else "failed"
         if ending is Ending.FULL:
             # Guards against hosts that refuse for want of room, or one plan's tasks only: that plan's go
-            # elsewhere, each time for longer. Hurts where there is room sooner than that.
-            longer = min(2.0 * health.refuses.get(task.plan, (0.0, REFUSED_MS / 2))[1], LONGEST_REFUSED_MS)
-            health.refuses[task.plan] = self.now + longer, longer
+            # elsewhere for a while. Hurts where there is room sooner than that.
+            health.refuses[task.plan] = self.now + ASIDE_MS
             for pace in (health.pace, self.load):
                 pace.add(self.now, task.product.quoted_ms, 1.0)
-        elif ending is Ending.DONE:
-            health.refuses.pop(task.plan, None)
         hurried = ending is Ending.TIMEOUT and took_ms < FAIR_TIME * self.mean_answer()
         if hurried or ending is Ending.MOOT:
             signal = "unproved"  # a client in a hurry says nothing of the host
@@ -413,6 +410,13 @@
     def let_back(self, health: Health) -> None:
         health.failures, health.back_at = 0, self.now
 
+    def tries(self, over: float) -> bool:
+        """Whether a host with no forward of ours is tried though answers are late elsewhere. Guards against
+        overload that a gateway cannot see whose forwards are few for its hosts: it tries by a chance that
+        falls with the lateness. Hurts where that is off."""
+        at_a_host = sum(self.sends.sums(self.now)) / 5000.0 * self.guess_ms / len(self.ready)
+        return over < float("inf") and (at_a_host > ENOUGH or self.chance(1000) * over**2 < 1000)
+
     def spare(self) -> bool:
         """Guards against a storm of further forwards on a fleet that is slow as a whole."""
         first, further = self.sends.sums(self.now)
@@ -467,7 +471,7 @@
         task.out -= 1
         self.fleet.ended(forward, took_ms)
         task.customer.book.out -= 1
-        if ending is Ending.DONE and units > 0 and not task.surplus:
+        if ending is Ending.DONE and units > 0:
             self.settle(task.call, units - task.units)
         advance(TASK, task, "served" if final else "lost", self)
 
@@ -521,10 +525,7 @@
 
     def beyond(self, task: Task) -> str:
         self.refund(task)
-        if task.plan.over_benefit <= task.plan.over_cost:
-            return "nowhere"
-        task.surplus = True
-        return self.place(task)
+        return self.place(task) if task.plan.over_benefit > task.plan.over_cost else "nowhere"
 
     def refund(self, task: Task) -> None:
         call, task.call = task.call, None  # once only
@@ -565,17 +566,16 @@
     def place(self, task: Task) -> str:
         book = task.customer.book
         quoted_left = min(task.taken_at + task.product.quoted_ms, task.cutoff_at) - self.now
-        part = TOO_LATE_BEYOND if task.surplus else TOO_LATE
+        sure = task.plan.rate <= 0 or (task.call is not None and task.call.landed and not task.call.overdue)
+        part = TOO_LATE if sure else TOO_LATE_UNSURE
         longest = self.fleet.longest_queue(part) * self.fleet.earning(task)
         host = self.fleet.pick(task, self.allowed(task), longest)
         if host is None:
             return "nowhere"
         expected = self.fleet.expected(host)
         own = expected * self.fleet.size(task.product, round(task.units))
-        # Guards against overload that a gateway with few forwards cannot see: a host without one is tried by
-        # a chance that falls with the lateness expected of any. Hurts where that is off.
-        over = max(expected / longest, own / (LATE * quoted_left)) if quoted_left > 0 else 1e9
-        if over > 1.0 and (host.health.outs or self.fleet.chance(1000) * over**2 >= 1000):
+        over = max(expected / longest, own / (LATE * quoted_left)) if quoted_left > 0 else float("inf")
+        if over > 1.0 and (host.health.outs or not self.fleet.tries(over)):
             return "nowhere"
         if not task.forwards and book.ceiling is not None and not book.ceiling.take(task.units, self.now):
             return "nowhere"
--- a/granitedock/policy/interface.py
+++ b/granitedock/policy/interface.py
@@ -137,7 +137,6 @@
     forwards: list[Forward] = field(default_factory=list)
     out: int = 0
     call: Call | None = None
-    surplus: bool = False
 
 
 @dataclass(eq=False, slots=True)
