--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -31,7 +31,7 @@
 
     def __init__(self, hosts=3, number=0, gateways=2, copies=False, at=100000.0, **cold):
         self.forwards, self.deferred, self.errored, self.calls = [], [], [], []
-        self.wakes, self.withdrawn, self.lines = [], [], []
+        self.wakes, self.withdrawn, self.lines, self.stops = [], [], [], []
         self.hosts = [Host() for _ in range(hosts)]
         leave = Leave(3, copies, True, True, 2000)
         coldness = Cold(0.2, 10000, 2, 1000)
@@ -42,6 +42,7 @@
     # The door.
     def forward(self, forward, stop_at):
         self.forwards.append(forward)
+        self.stops.append(stop_at)
 
     def defer(self, task, come_back_ms):
         self.deferred.append((task, come_back_ms))
@@ -62,9 +63,9 @@
         self.lines.append(line)
 
     # What the world does.
-    def roster(self, status, *hosts, started_at=0.0, zones=None):
+    def roster(self, status, *hosts, started_at=0.0, zones=None, size=1.0):
         sightings = [
-            Sighting(host, 1, "m", (zones or {}).get(host, "z"), 0, started_at, status) for host in hosts
+            Sighting(host, size, "m", (zones or {}).get(host, "z"), 0, started_at, status) for host in hosts
         ]
         self.gateway.roster(sightings, False)
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -296,3 +296,129 @@
     story.ask(plan=PLAN, units=1)
     story.counter(total=500)
     assert not story.forwards and len(story.deferred) == 1
+
+
+def test_a_host_gets_tasks_by_its_registered_size_with_the_same_work_in_any_fleet():
+    story = Story(hosts=300)
+    story.roster(Status.READY, *story.hosts[:100], size=4.0)
+    for step in range(300):
+        story.admitted(customer=Customer(step))
+        story.ends(Ending.DONE)
+        story.pass_ms(20)
+    large = sum(forward.host in story.hosts[:100] for forward in story.forwards)
+    assert 160 < large < 240  # two thirds of the sizes
+    assert story.gateway.fleet.draws <= 3 * 300
+
+
+def test_a_host_that_refuses_one_plan_keeps_the_others_tasks_and_a_one_shot_goes_on():
+    story = Story(hosts=2)
+    task = story.admitted(ONE_SHOT, customer=Customer(1))
+    refusing = story.forwards[-1].host
+    story.ends(Ending.FULL)
+    assert story.forwards[-1].task is task and story.forwards[-1].host is not refusing
+    story.ends(Ending.DONE)
+    for step in range(20):
+        story.admitted(customer=Customer(10 + step))
+        assert story.forwards[-1].host is not refusing
+        story.ends(Ending.DONE)
+        story.admitted(customer=Customer(40 + step), plan=CAPPED)
+        if story.forwards[-1].ending is None:
+            story.ends(Ending.DONE)
+    assert refusing.health.state == "trusted"
+    assert refusing in [f.host for f in story.forwards if f.task.plan is CAPPED]
+    story.pass_ms(3001)
+    for step in range(20):
+        story.admitted(customer=Customer(70 + step))
+        story.ends(Ending.DONE)
+    assert refusing in [forward.host for forward in story.forwards[-20:]]
+
+
+def test_what_is_too_late_stops_where_that_brings_no_new_try_and_nothing_is_begun_past_its_time():
+    story = Story()
+    story.admitted(READ)
+    story.admitted(STAMPED, customer=Customer(5))
+    story.admitted(ONE_SHOT, customer=Customer(6))
+    late = story.gateway.now + 2000
+    assert story.stops == [None, late, late]
+    story.ends(Ending.TIMEOUT, 2000)
+    assert len(story.errored) == 1
+    for step in range(1500):  # whatever the chance draws
+        story.ask(customer=Customer(step), left=0.0)
+        story.counter(total=1)
+    assert len(story.forwards) == 3 and len(story.deferred) == 1500
+
+
+def test_later_tries_past_their_quoted_time_are_not_counted_while_the_counter_is_crowded():
+    story = Story(hosts=6)
+    for step in range(4):
+        story.admitted(customer=Customer(step), left=3000)
+    story.admitted(customer=Customer(8), left=1900)  # calm: counted like any other
+    assert len(story.calls) == 5
+    story.ask(customer=Customer(9), left=3000)
+    story.counter(Ending.FULL)
+    story.ask(customer=Customer(10), left=1900)
+    assert len(story.calls) == 6 and len(story.deferred) == 1
+    story.ask(customer=Customer(11), left=3000)
+    assert len(story.calls) == 7
+
+
+def test_a_share_smaller_than_a_task_lets_one_in_and_owes_it():
+    story, customer = Story(hosts=9), Customer(5)
+    story.ask(customer=customer, units=3, spread=100)
+    story.counter(total=8)  # something of the burst is used
+    for _ in range(3):
+        story.ask(customer=customer, units=3, spread=100)
+        if not story.calls[-1].answered:
+            story.counter(Ending.FULL)
+    assert len(story.forwards) == 2 and len(story.deferred) == 2
+    assert customer.book.spell_at(story.gateway.now) <= PLAN.burst
+
+
+def test_many_gateways_hold_overload_back_though_each_has_few_forwards():
+    story = Story(hosts=40, gateways=100)
+    for step in range(60):
+        story.admitted(customer=Customer(step))
+        if story.forwards and story.forwards[-1].ending is None:
+            story.ends(Ending.DONE, 2500)
+        story.pass_ms(300)
+    assert 10 < len(story.deferred) < 55  # some go on, to find when it is over
+
+
+def test_many_gateways_bring_many_cold_hosts_up_each_in_its_turn():
+    sent = {}
+    for number in range(8):
+        story = Story(hosts=12, number=number, gateways=8)
+        for index, host in enumerate(story.hosts[:8]):
+            story.roster(Status.READY, host, started_at=99000.0 + index)
+        for step in range(80):
+            story.admitted(customer=Customer(step))
+            story.ends(Ending.DONE)
+            story.pass_ms(50)
+        for forward in story.forwards:
+            if forward.host in story.hosts[:8]:
+                key = story.hosts.index(forward.host), int(forward.sent_at // 1000)
+                sent.setdefault(key, []).append(number)
+    assert len({host for host, _ in sent}) == 8
+    assert all(len(set(numbers)) == 1 for numbers in sent.values())  # one gateway at a time
+
+
+def test_lost_answers_while_the_counter_is_down_and_hosts_leave_in_a_wave():
+    story = Story(hosts=6)
+    for step in range(30):
+        task = story.ask(STAMPED, customer=Customer(step), spread=1)
+        if not story.calls[-1].answered:
+            story.counter(Ending.UNREACHED)
+        if step == 10:
+            story.roster(Status.DRAINING, *story.hosts[:2])
+            told, seen = story.gateway.now, len(story.forwards)
+        if step % 3:
+            story.ends(Ending.DONE)
+        story.pass_ms(40)
+    story.pass_ms(3000)
+    for forward in story.withdrawn:
+        if forward.ending is None:
+            story.ends(Ending.WITHDRAWN, 900, forward)
+    assert task.forwards and story.withdrawn and told
+    assert all(forward.host not in story.hosts[:2] for forward in story.forwards[seen:])
+    answered = [task for task, _ in story.deferred] + story.errored
+    assert len(answered) == len(set(map(id, answered)))
