--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -566,8 +566,9 @@
     def place(self, task: Task) -> str:
         book = task.customer.book
         quoted_left = min(task.taken_at + task.product.quoted_ms, task.cutoff_at) - self.now
-        sure = task.plan.rate <= 0 or (task.call is not None and task.call.landed and not task.call.overdue)
-        part = TOO_LATE if sure else TOO_LATE_UNSURE
+        call = task.call
+        sure = task.plan.rate <= 0 or (call is not None and call.landed and not call.overdue)
+        part = TOO_LATE if sure or self.breaker.state == "open" else TOO_LATE_UNSURE
         longest = self.fleet.longest_queue(part) * self.fleet.earning(task)
         host = self.fleet.pick(task, self.allowed(task), longest)
         if host is None:
