--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -18,7 +18,7 @@
 BUDGET_MS = 20.0  # the design's budget of a call to the counter
 BREAKER_FAILURES, QUARANTINE_MS = 5, 1500.0  # in a row open the breaker; then one trial call
 CALM_MS = 5000.0  # without a failed call before the counter has room for calls that can wait
-RATION_LESS, RATION_MORE, LEAST_RATION = 0.7, 0.02, 0.1  # of the tasks counted: after a failure, a success
+RATION_LESS, RATION_MORE, LEAST_RATION = 0.8, 0.03, 0.1  # of the tasks counted: after a failure, a success
 WINDOW_OF_BURST = 2.0  # a window is as long as the rate needs to fill the burst, this many times
 SPELL_SLACK = 0.5  # units a spell may pass the burst by, for the calls' own delays
 LONGEST_NAME_MS, NAMES_LAST = 60000.0, 3.0  # the counter's longest life of a name; windows a name lasts
@@ -29,7 +29,7 @@
 SPARE_FORWARDS, SPARE_AT_LEAST = 0.15, 3.0  # further forwards: a part of first ones, and a few more
 FIRST_GUESS, GUESS_WEIGHT = 0.3, 12.0  # an answer's time, of the quoted time, before any; in answers
 TOO_LATE, LATE = 0.45, 0.8  # of the quoted time, for a mean answer; of the time left, for a task's own
-TOO_LATE_UNSURE = 0.35  # as TOO_LATE, for tasks the counter has not let in: under load the others come first
+TOO_LATE_UNSURE = 0.4  # as TOO_LATE, for tasks the counter has not let in: under load the others come first
 ENOUGH = 0.4  # forwards of ours at a host, on the mean: with fewer, a host without one may yet be busy
 
 # A task: state and input give the next state and the effect, whose result is the next input.
