--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -422,3 +422,32 @@
     assert all(forward.host not in story.hosts[:2] for forward in story.forwards[seen:])
     answered = [task for task, _ in story.deferred] + story.errored
     assert len(answered) == len(set(map(id, answered)))
+
+
+def test_an_ageing_host_gets_less_and_comes_back_as_a_cold_one():
+    story, ageing = Story(hosts=4), None
+    for step in range(120):
+        story.admitted(customer=Customer(step))
+        if step == 60:
+            used = [forward.host for forward in story.forwards]
+            ageing = max(story.hosts, key=used.count)
+        slower = 20 * (step - 60) if story.forwards[-1].host is ageing else 0
+        story.ends(Ending.DONE, 100 + slower)
+        story.pass_ms(25)
+    late = [forward.host for forward in story.forwards[80:]]
+    assert late.count(ageing) / 40 < 0.5 * used.count(ageing) / 60
+    story.roster(Status.READY, ageing, started_at=story.gateway.now)
+    assert ageing.health.pace.sums(story.gateway.now) == (0, 0)
+    assert story.gateway.fleet.warmth(ageing) < 0.3
+
+
+def test_a_mix_turned_to_a_heavy_product_does_not_pass_for_slow_hosts():
+    story = Story(hosts=6)
+    for step in range(200):
+        heavy = step > 60
+        story.admitted(STAMPED if heavy else READ, customer=Customer(step))
+        story.ends(Ending.DONE, 500 if heavy else 100)
+        story.pass_ms(50)
+    assert len(story.forwards) > 190
+    light = story.gateway.fleet.size(READ, 1)
+    assert story.gateway.fleet.size(STAMPED, 1) > 2 * light
