--- a/granitedock/benchlink/pipe.py
+++ b/granitedock/benchlink/pipe.py
@@ -13,7 +13,7 @@
 
 import orjson
 
-from granitedock.benchlink import birth
+from granitedock import birth
 from granitedock.policy.decisions import Gateway
 from granitedock.policy.interface import (
     Call,
--- /dev/null
+++ b/granitedock/service/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway on sockets, round the decisions."""
--- /dev/null
+++ b/granitedock/service/clients.py
@@ -0,0 +1,154 @@
+"""The clients' side: their connections, and what their commands say.
+
+Owns reading a command, and taking out of it the few fields that decisions need; the rest stays the
+bytes that came. It must never answer by itself, keep a task, or change a state: it tells the reducer.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet.protocol import Factory
+
+from granitedock.service.limits import Limits
+from granitedock.service.resp import Fault, RespReceiver, bulk
+
+TASKS = (b"API.READ", b"API.WRITE")
+
+
+class Unreadable(Exception):
+    """A command that says it is a task and does not hold what a task needs."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A task as a client words it, and its bytes round the time it gives."""
+
+    product: str
+    plan: str
+    customer: int
+    left_ms: float
+    units: float
+    spread: int
+    before: bytes
+    head: bytes
+    tail: bytes
+    after: bytes
+
+    def size(self) -> int:
+        return len(self.before) + len(self.head) + len(self.tail) + len(self.after)
+
+    def within(self, left_ms: float) -> bytes:
+        """The same command, for a host that has so long; all else is as it came."""
+        return self.before + bulk(b"%b%d%b" % (self.head, max(1, int(left_ms)), self.tail)) + self.after
+
+
+def read(words: list[Any], parts: list[bytes]) -> Ask:
+    """
+    >>> text = b"c=r,t=p,d=480,units=2,spread=3,first=1"
+    >>> words = [b"API.READ", b"00000000000000a1", b"9b1f03aa5c7e2d41", text]
+    >>> ask = read(words, [b"*4\\r\\n", *(part for word in words for part in bulk(word).split(b"\\r\\n", 1))])
+    >>> ask.product, ask.customer, ask.left_ms, ask.spread, ask.head, ask.tail
+    ('r', 161, 480.0, 3, b'c=r,t=p,d=', b',units=2,spread=3,first=1')
+    """
+    if len(words) not in (4, 5) or not all(type(word) is bytes for word in words):
+        raise Unreadable("a task has four words or five")
+    text: bytes = words[3]
+    try:
+        fields = dict(pair.split(b"=", 1) for pair in text.split(b","))
+        at = 0 if text.startswith(b"d=") else text.index(b",d=") + 1
+        end = text.find(b",", at)
+        if len(words[1]) != 16:
+            raise ValueError("a customer has 16 digits")
+        left_ms = float(fields[b"d"])
+        if not 0.0 <= left_ms < 1e9:
+            raise ValueError("no such time")
+        return Ask(
+            fields[b"c"].decode(),
+            fields[b"t"].decode(),
+            int(words[1], 16),
+            left_ms,
+            max(0.0, float(fields.get(b"units", 1))),
+            max(1, int(fields.get(b"spread", 1))),
+            b"".join(parts[:7]),
+            text[: at + 2],
+            text[end:] if end >= 0 else b"",
+            b"".join(parts[9:]),
+        )
+    except (ValueError, KeyError) as fault:
+        raise Unreadable(f"task not readable: {fault}") from None
+
+
+class ClientLink(RespReceiver):
+    """One connection of a client. It stops reading while the client leaves answers unread."""
+
+    record: Any = None
+
+    def __init__(self, tell, limits: Limits) -> None:
+        super().__init__(limits.line, limits.value, limits.whole, limits.items, 1)
+        self.tell = tell
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self.tell("client up", self)
+
+    def connectionLost(self, reason=None) -> None:
+        self.tell("client down", self.record)
+
+    def received(self, value: Any, parts: list[bytes]) -> None:
+        if type(value) is not list or not value or type(value[0]) is not bytes:
+            self.spoil("not a command")
+            return
+        name = value[0].upper()
+        if name in TASKS:
+            try:
+                ask = read(value, parts)
+            except Unreadable as why:
+                self.spoil(str(why))
+            else:
+                self.tell("asked", self.record, ask)
+        else:
+            self.tell("command", self.record, name)
+
+    def malformed(self, why: str) -> None:
+        self.tell("malformed", self.record, why)
+
+    def pauseProducing(self) -> None:
+        super().pauseProducing()
+        self.tell("client choked", self.record)
+
+    def resumeProducing(self) -> None:
+        self.tell("client eased", self.record)
+        super().resumeProducing()
+
+    # What the reducer asks for.
+
+    def send(self, data: bytes) -> None:
+        self.transport.write(data)
+
+    def close(self) -> None:
+        """Once all is written."""
+        self.deaf = True
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
+    def abort(self) -> None:
+        self.deaf = True
+        self.transport.abortConnection()
+
+
+class ClientDoor(Factory):
+    """Makes a link of each connection that is taken in."""
+
+    noisy = False
+
+    def __init__(self, tell, limits: Limits) -> None:
+        self.tell, self.limits = tell, limits
+
+    def buildProtocol(self, addr) -> ClientLink:
+        return ClientLink(self.tell, self.limits)
+
+
+__all__ = ["Ask", "ClientDoor", "ClientLink", "Fault", "Unreadable", "read"]
--- /dev/null
+++ b/granitedock/service/discovery.py
@@ -0,0 +1,111 @@
+"""Discovery's side: the watch over HTTP, and the reading of its lines.
+
+Owns the bytes of one watch and turns each line into the list's entries in our words. It must never
+keep the list, nor open a watch again by itself.
+"""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+import h11
+import orjson
+from twisted.internet.protocol import Protocol
+
+from granitedock.policy.interface import Status
+from granitedock.service.limits import Limits
+
+STATUSES = {"in_service": Status.READY, "terminating": Status.DRAINING, "terminated": Status.GONE}
+
+
+class Entry(NamedTuple):
+    """One line of the list."""
+
+    name: str
+    address: str
+    size: float
+    make: str
+    zone: str
+    cell: int
+    started_at: float
+    status: Status
+
+
+class Listing(NamedTuple):
+    version: int
+    whole: bool
+    entries: list[Entry]
+
+
+def listing(told: dict[str, Any]) -> Listing:
+    """
+    >>> listing({"generation": 4, "reset": True, "instances": [
+    ...     {"instanceId": "s-1", "hostPort": "127.0.0.1:1", "lifecycle": "terminating"}]}).entries[0]
+    Entry(name='s-1', address='127.0.0.1:1', size=1.0, make='', zone='', cell=0, started_at=0.0, \
+status=<Status.DRAINING: 'draining'>)
+    """
+    entries = []
+    for item in told.get("instances") or ():
+        size = item.get("weight")
+        entries.append(
+            Entry(
+                item["instanceId"],
+                item.get("hostPort") or "",
+                1.0 if size is None else float(size),
+                item.get("machineType") or "",
+                item.get("zone") or "",
+                int(item.get("cell") or 0),
+                float(item.get("startedAtMs") or 0.0),
+                STATUSES[item["lifecycle"]],
+            )
+        )
+    return Listing(int(told["generation"]), bool(told.get("reset")), entries)
+
+
+class WatchLink(Protocol):
+    """One watch, until its connection ends."""
+
+    record: Any = None
+
+    def __init__(self, tell, address: str, limits: Limits) -> None:
+        self.tell, self.address, self.most = tell, address, limits.document
+        self.http = h11.Connection(h11.CLIENT)
+        self.line = b""
+
+    def connectionMade(self) -> None:
+        ask = h11.Request(
+            method="GET",
+            target=f"/api/targets?watch=1&after={self.record.version}",
+            headers=[("Host", self.address), ("Accept", "application/json")],
+        )
+        self.transport.write(self.http.send(ask) + self.http.send(h11.EndOfMessage()))
+        self.tell("watch up", self.record, self)
+
+    def connectionLost(self, reason=None) -> None:
+        self.tell("watch down", self.record)
+
+    def dataReceived(self, data: bytes) -> None:
+        try:
+            self.http.receive_data(data)
+            while (event := self.http.next_event()) is not h11.NEED_DATA:
+                if isinstance(event, h11.Response) and event.status_code != 200:
+                    self.abort()
+                    return
+                if isinstance(event, h11.Data):
+                    self.lines(bytes(event.data))
+                elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+                    self.abort()
+                    return
+        except (h11.RemoteProtocolError, ValueError, KeyError, TypeError, AttributeError):
+            # Guards against a list that makes no sense: the one we have stands, and the watch opens again.
+            self.abort()
+
+    def lines(self, data: bytes) -> None:
+        *whole, self.line = (self.line + data).split(b"\n")
+        if len(self.line) > self.most:
+            raise ValueError("line too long")
+        for line in whole:
+            self.tell("listed", self.record, listing(orjson.loads(line)) if line.strip() else None)
+
+    def abort(self) -> None:
+        self.transport.abortConnection()
--- /dev/null
+++ b/granitedock/service/limits.py
@@ -0,0 +1,89 @@
+"""The limits of one gateway process: every size, count and time that bounds it.
+
+Owns the figures, filled once at start from what the gateway is told, and handed down. It must never
+decide anything about a task, and nothing may change it while the gateway runs.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+KIB = 1024
+MIB = 1024 * KIB
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    # Sizes, in bytes.
+    value: int  # one bulk string
+    whole: int  # one command or answer with all it holds
+    line: int  # one line of the framing
+    document: int  # one line of the list of hosts
+    held: int  # all commands and answers that wait here
+    unread: int  # answers that one client leaves unread
+    # Counts.
+    items: int  # of one array
+    depth: int  # of arrays in arrays
+    tasks: int  # held at once
+    queue: int  # commands of one client's connection that wait for answers
+    client_links: int
+    host_links: int
+    counter_links: int  # in use at once
+    counter_old: int  # silent ones that are kept for late totals
+    backlog: int
+    log_lines: int  # a second
+    # Times, in milliseconds.
+    connect_ms: float
+    host_idle_ms: float  # a connection to a host is closed when idle so long, before the host does
+    counter_ping_ms: float  # an idle connection to the counter is used at least so often
+    counter_silence_ms: float  # with calls waiting, it is taken for dead after this
+    counter_linger_ms: float  # and kept so long for late totals
+    watch_silence_ms: float
+    redial_ms: float
+    half_ms: float  # a command begun and not ended
+    margin_ms: float  # answers leave so long before the client's time is up
+    ready_ms: float  # the longest wait for a first list at start
+    open_ms: float  # after SIGTERM new connections are taken for so long
+    leave_ms: float  # after SIGTERM all is answered by then
+    sweep_ms: float
+
+    @classmethod
+    def told(cls, told: dict[str, Any]) -> Limits:
+        """From the file the gateway is started with: its own limits, and those the deployment states."""
+        own, born = told.get("limits") or {}, told["settings"]
+        memory = float(own.get("memory_mb") or 192) * MIB
+        sockets = int(own.get("sockets") or 1024)
+        allowed = born.get("Allowed") or {}
+        longest = max((float(lane["GiveUpMs"]) for lane in born["Lanes"]), default=3000.0)
+        return cls(
+            value=64 * KIB,
+            whole=68 * KIB,
+            line=KIB,
+            document=4 * MIB,
+            held=int(memory / 4),
+            unread=256 * KIB,
+            items=64,
+            depth=4,
+            tasks=int(allowed.get("MostHeld") or 20000),
+            queue=64,
+            client_links=max(8, int(sockets * 0.45)),
+            host_links=max(8, int(sockets * 0.4)),
+            counter_links=4,
+            counter_old=8,
+            backlog=512,
+            log_lines=50,
+            connect_ms=float(allowed.get("ConnectTimeoutMs") or 250.0),
+            host_idle_ms=float(allowed.get("ConnIdleMs") or 15000.0) / 2,
+            counter_ping_ms=3000.0,
+            counter_silence_ms=1000.0,
+            counter_linger_ms=10000.0,
+            watch_silence_ms=3000.0,
+            redial_ms=100.0,
+            half_ms=10000.0,
+            margin_ms=8.0,
+            ready_ms=1000.0,
+            open_ms=500.0,
+            leave_ms=min(longest, 3000.0) + 550.0,
+            sweep_ms=250.0,
+        )
--- /dev/null
+++ b/granitedock/service/reducer.py
@@ -0,0 +1,724 @@
+"""The one place where the gateway's state changes.
+
+Owns the connections' states, the tasks in hand, the list of hosts as told and the gateway's mode; it is the
+door of the decisions. It takes one input at a time and gives the effects to be carried out. It must never
+read, write, wait or look at a clock, and never decide about a task: that is the decisions' part.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from dataclasses import dataclass, field
+from typing import Any
+from weakref import WeakValueDictionary
+
+from granitedock import birth
+from granitedock.policy.decisions import Gateway, advance
+from granitedock.policy.interface import Call, Customer, Ending, Forward, Host, Sighting, Status, Task
+from granitedock.service.clients import Ask
+from granitedock.service.counter import PING, tally
+from granitedock.service.discovery import Listing
+from granitedock.service.limits import Limits
+
+PONG = b"+PONG\r\n"
+ERRORED = b"-ERR failed\r\n"
+
+# States and inputs give the next state and an effect, as in the decisions.
+
+MODE = {
+    ("starting", "listed"): ("serving", "open_up"),
+    ("starting", "waited"): ("serving", "open_up"),
+    ("starting", "ending"): ("draining", "stay_open"),
+    ("serving", "ending"): ("draining", "stay_open"),
+    ("draining", "shut"): ("closing", "shut_door"),
+    ("closing", "idle"): ("ended", "leave"),
+    ("closing", "overdue"): ("ended", "answer_rest"),
+}
+
+HOST_LINK = {
+    ("dialling", "up"): ("writing", "write"),
+    ("dialling", "down"): ("gone", "never_ran"),
+    ("dialling", "late"): ("gone", "never_ran"),
+    ("dialling", "withdrawn"): ("gone", "never_ran"),
+    ("writing", "written"): ("out", None),
+    ("writing", "answered"): ("gone", "abort"),  # before all of it was written, so it never ran
+    ("writing", "malformed"): ("gone", "cut_short"),
+    ("writing", "down"): ("gone", "never_ran"),
+    ("writing", "late"): ("gone", "cut_short"),
+    ("writing", "withdrawn"): ("gone", "cut_short"),
+    ("out", "answered"): ("idle", "rest"),
+    ("out", "malformed"): ("gone", "broke_off"),
+    ("out", "down"): ("gone", "broken"),
+    ("out", "late"): ("gone", "overdue"),
+    ("out", "withdrawn"): ("gone", "called_off"),
+    ("idle", "needed"): ("writing", "write"),
+    ("idle", "answered"): ("gone", "drop"),  # nothing was asked of it
+    ("idle", "malformed"): ("gone", "drop"),
+    ("idle", "aged"): ("gone", "drop"),
+    ("idle", "down"): ("gone", "forget_lane"),
+    ("gone", "up"): ("gone", "abort"),
+}
+
+COUNTER_LINK = {
+    ("dialling", "up"): ("up", "flush"),
+    ("dialling", "down"): ("gone", "never_added"),
+    ("up", "silent"): ("old", "replace"),
+    ("up", "down"): ("gone", "unknown"),
+    ("old", "emptied"): ("gone", "abort"),
+    ("old", "lingered"): ("gone", "unknown_abort"),
+    ("old", "down"): ("gone", "unknown"),
+}
+
+WATCH = {
+    ("closed", "due"): ("dialling", "dial_watch"),
+    ("dialling", "up"): ("open", None),
+    ("dialling", "down"): ("closed", "watch_later"),
+    ("open", "down"): ("closed", "watch_later"),
+    ("open", "silent"): ("closed", "watch_anew"),
+}
+
+
+@dataclass(eq=False, slots=True)
+class Reply:
+    """A command's place among the answers of its connection."""
+
+    answer: bytes | None = None
+
+
+@dataclass(eq=False, slots=True)
+class Caller:
+    """A client's connection."""
+
+    link: Any
+    queue: deque[Any] = field(default_factory=deque)  # what waits for its answer, in the order it came
+    choked: bool = False
+    unread: int = 0
+    half_since: float = 0.0
+    state: str = "up"
+
+
+@dataclass(eq=False, slots=True)
+class Errand(Task):
+    """A task with the client's connection it came on and the bytes it came in."""
+
+    caller: Caller | None = None
+    ask: Ask | None = None
+    size: int = 0
+    answer: bytes | None = None
+
+
+@dataclass(eq=False, slots=True)
+class Place(Host):
+    """A host with its address and the connections that wait there."""
+
+    address: str = ""
+    idle: list[Lane] = field(default_factory=list)
+
+
+@dataclass(eq=False, slots=True)
+class Lane:
+    """A connection to a host."""
+
+    place: Place
+    state: str
+    forward: Forward | None
+    stop_at: float
+    link: Any = None
+    idle_since: float = 0.0
+
+
+@dataclass(eq=False, slots=True)
+class Wire:
+    """A connection to the counter, and the calls on it that wait for answers; None stands for a PING."""
+
+    number: int
+    state: str = "dialling"
+    link: Any = None
+    waiting: deque[Call | None] = field(default_factory=deque)
+    heard_at: float = 0.0
+    asked_at: float = 0.0
+    old_since: float = 0.0
+
+
+@dataclass(eq=False, slots=True)
+class Watch:
+    version: int
+    state: str = "closed"
+    link: Any = None
+    heard_at: float = 0.0
+
+
+class Reducer:
+    """Inputs in, effects out. An effect is a function with its arguments."""
+
+    def __init__(
+        self, limits: Limits, born: dict[str, Any], seed: int, known: Listing | None, doors: Any, log: Any
+    ) -> None:
+        self.limits, self.doors, self.log, self.now = limits, doors, log, 0.0
+        self.counts: Counter[str] = log.counts
+        self.effects: list[tuple] = []
+        self.inbox: deque[tuple] = deque()
+        self.state = "starting"
+        self.products = {product.name: product for product in birth.products(born)}
+        self.plans = {plan.name: plan for plan in birth.plans(born)}
+        self.customers: WeakValueDictionary[int, Customer] = WeakValueDictionary()
+        self.callers: dict[Caller, None] = {}
+        self.errands: dict[Errand, None] = {}
+        self.pings: list[tuple[Caller, Reply]] = []
+        self.held = 0
+        self.places: dict[str, Place] = {}
+        self.lanes: dict[Forward, Lane] = {}
+        self.host_links = 0
+        self.wires: list[Wire | None] = [None] * limits.counter_links
+        self.old_wires: dict[Wire, None] = {}
+        self.watch = Watch(0)
+        self.born, self.seed, self.known = born, seed, known
+        self.gateway: Gateway | None = None
+
+    def reduce(self, now: float, name: str, *what: Any) -> list[tuple]:
+        """One input, with all that follows from it here."""
+        self.now = now
+        if self.gateway is not None:
+            self.gateway.at(now)
+        INPUTS[name](self, *what)
+        while self.inbox:
+            later, *what = self.inbox.popleft()
+            later(*what)
+        effects, self.effects = self.effects, []
+        return effects
+
+    def do(self, *effect: Any) -> None:
+        self.effects.append(effect)
+
+    def wake_at(self, due: float, name: str, *what: Any) -> None:
+        self.do(self.doors.wake, due, name, *what)
+
+    # Mode.
+
+    def start(self) -> None:
+        """The list as we last had it serves until discovery speaks."""
+        self.gateway = Gateway(
+            self,
+            self.now,
+            birth.seat(self.seed, self.born),
+            list(self.products.values()),
+            birth.leave(self.born),
+            birth.cold(self.born),
+            birth.has_counter(self.born),
+        )
+        if self.known is not None:
+            self.entries(self.known)
+            self.watch.version = self.known.version
+        advance(WATCH, self.watch, "due", self)
+        if self.gateway.has_counter:
+            for number in range(self.limits.counter_links):
+                self.wire(number)
+        self.wake_at(self.now + self.limits.ready_ms, "mode", "waited")
+        self.wake_at(self.now + self.limits.sweep_ms, "sweep")
+
+    def mode(self, signal: str) -> None:
+        before = self.state
+        advance(MODE, self, signal, self)
+        if self.state != before:
+            self.log.event("mode", was=before, now=self.state, tasks=len(self.errands))
+
+    def open_up(self, _self) -> None:
+        for caller, reply in self.pings:
+            self.fill(caller, reply, PONG)
+        self.pings = []
+
+    def stay_open(self, _self) -> None:
+        self.wake_at(self.now + self.limits.open_ms, "mode", "shut")
+        self.wake_at(self.now + self.limits.leave_ms, "mode", "overdue")
+
+    def shut_door(self, _self) -> str | None:
+        self.do(self.doors.shut)
+        for caller in list(self.callers):
+            if not caller.queue:
+                self.hang_up(caller)
+        return None if self.errands else "idle"
+
+    def answer_rest(self, _self) -> str | None:
+        """Guards against a stop that finds tasks in hand: an error promises nothing, and comes in time."""
+        for errand in list(self.errands):
+            self.error(errand)
+        return self.leave(self)
+
+    def leave(self, _self) -> None:
+        self.do(self.doors.leave)
+
+    # Clients.
+
+    def client_up(self, link: Any) -> None:
+        caller = link.record = Caller(link)
+        self.callers[caller] = None
+        self.counts["client_links"] += 1
+        if len(self.callers) > self.limits.client_links:
+            # Guards against running out of descriptors: one that waits for nothing makes room.
+            idle = next((other for other in self.callers if not other.queue and other is not caller), None)
+            if idle is not None:
+                self.hang_up(idle)
+
+    def client_down(self, caller: Caller) -> None:
+        caller.state = "gone"
+        self.callers.pop(caller, None)
+        for waiting in caller.queue:
+            if isinstance(waiting, Errand) and waiting.answer is None:
+                waiting.answer = b""
+                self.counts["client_gone"] += 1
+                self.gateway.client_gone(waiting)
+                self.forget(waiting)
+            elif waiting.answer is not None:
+                self.held -= len(waiting.answer)
+        caller.queue.clear()
+        self.settled()
+
+    def hang_up(self, caller: Caller) -> None:
+        caller.state = "closing"
+        self.callers.pop(caller, None)
+        self.do(caller.link.close)
+
+    def command(self, caller: Caller, name: bytes) -> None:
+        if caller.state != "up" or self.crowded(caller):
+            return
+        reply = Reply()
+        caller.queue.append(reply)
+        if name == b"PING":
+            if self.state == "starting":
+                self.pings.append((caller, reply))
+            else:
+                self.fill(caller, reply, PONG)
+        elif name in (b"CLIENT", b"SELECT"):
+            self.fill(caller, reply, b"+OK\r\n")
+        else:
+            self.fill(caller, reply, b"-ERR unknown command\r\n")
+
+    def malformed(self, caller: Caller, why: str) -> None:
+        self.counts["malformed"] += 1
+        self.log.event("malformed", why=why)
+        if caller.state == "up":
+            caller.state = "spoilt"  # what came before is still answered, then the connection ends
+            reply = Reply()
+            caller.queue.append(reply)
+            self.fill(caller, reply, b"-ERR %b\r\n" % why.encode("ascii", "replace")[:200])
+
+    def crowded(self, caller: Caller) -> bool:
+        """Guards the memory against one connection with no end of commands behind a slow one."""
+        if len(caller.queue) < 16 * self.limits.queue:
+            return False
+        self.malformed(caller, "too many commands wait")
+        return True
+
+    def asked(self, caller: Caller, ask: Ask) -> None:
+        if caller.state != "up" or self.crowded(caller):
+            return
+        self.counts["taken"] += 1
+        product, plan = self.products.get(ask.product), self.plans.get(ask.plan)
+        if product is None or plan is None:
+            self.malformed(caller, "unknown product or plan")
+            return
+        customer = self.customers.get(ask.customer)
+        if customer is None:
+            customer = self.customers[ask.customer] = Customer(ask.customer)
+        cutoff_at = self.now + max(ask.left_ms / 2, ask.left_ms - self.limits.margin_ms)
+        errand = Errand(product, plan, customer, self.now, cutoff_at, ask.units, ask.spread)
+        errand.caller, errand.ask, errand.size = caller, ask, ask.size()
+        caller.queue.append(errand)
+        self.errands[errand] = None
+        self.held += errand.size
+        if (
+            len(self.errands) > self.limits.tasks
+            or self.held > self.limits.held
+            or len(caller.queue) > self.limits.queue
+        ):
+            # Guards the memory: it was never forwarded, so trying again is harmless.
+            errand.state = "over"
+            self.defer(errand, None)
+            return
+        self.gateway.take(errand)
+
+    def choked(self, caller: Caller) -> None:
+        caller.choked = True
+
+    def eased(self, caller: Caller) -> None:
+        caller.choked, caller.unread = False, 0
+
+    def fill(self, caller: Caller, waiting: Any, answer: bytes) -> None:
+        """An answer is there; it leaves once those before it have left."""
+        waiting.answer = answer
+        queue = caller.queue
+        self.held += len(answer)
+        if queue[0] is not waiting:
+            return
+        ready = []
+        while queue and queue[0].answer is not None:
+            ready.append(queue.popleft().answer)
+        data = b"".join(ready)
+        self.held -= len(data)
+        self.do(caller.link.send, data)
+        if caller.choked:
+            caller.unread += len(data)
+            if caller.unread > self.limits.unread:
+                self.counts["slow_readers"] += 1
+                self.do(caller.link.abort)  # guards the memory against clients that read nothing
+                return
+        if not queue and (caller.state == "spoilt" or self.state == "closing"):
+            self.hang_up(caller)
+
+    def finish(self, errand: Errand, answer: bytes) -> None:
+        caller = errand.caller
+        self.forget(errand)
+        if caller.state in ("up", "spoilt"):
+            self.fill(caller, errand, answer)
+        self.settled()
+
+    def forget(self, errand: Errand) -> None:
+        self.errands.pop(errand, None)
+        self.held -= errand.size
+        errand.size = 0
+
+    def settled(self) -> None:
+        if self.state == "closing" and not self.errands:
+            self.inbox.append((self.mode, "idle"))
+
+    # The door of the decisions.
+
+    def forward(self, forward: Forward, stop_at: float | None) -> None:
+        place, errand = forward.host, forward.task
+        stop_at = min(stop_at or errand.cutoff_at, errand.cutoff_at)
+        self.counts["forwards"] += 1
+        while place.idle:
+            lane = place.idle.pop()
+            if lane.state == "idle" and self.now - lane.idle_since < self.limits.host_idle_ms:
+                lane.forward, lane.stop_at = forward, stop_at
+                self.lanes[forward] = lane
+                advance(HOST_LINK, lane, "needed", self)
+                break
+            advance(HOST_LINK, lane, "aged", self)
+        else:
+            lane = self.lanes[forward] = Lane(place, "dialling", forward, stop_at)
+            self.host_links += 1
+            if self.host_links > self.limits.host_links and not self.spare_link():
+                self.inbox.append((self.host, lane, "down"))
+            else:
+                self.counts["host_dials"] += 1
+                self.do(self.doors.dial_host, lane, place.address)
+        self.wake_at(stop_at, "late", lane, forward)
+
+    def defer(self, errand: Errand, come_back_ms: float | None) -> None:
+        self.counts["deferred"] += 1
+        back = b"-BUSY %d\r\n" % max(1, round(come_back_ms)) if come_back_ms else b"-BUSY\r\n"
+        self.finish(errand, back)
+
+    def error(self, errand: Errand) -> None:
+        self.counts["errored"] += 1
+        self.finish(errand, ERRORED)
+
+    def withdraw(self, forward: Forward) -> None:
+        lane = self.lanes.get(forward)
+        if lane is not None:
+            self.counts["withdrawn"] += 1
+            self.inbox.append((self.host, lane, "withdrawn"))
+
+    def count(self, call: Call) -> None:
+        self.counts["calls"] += 1
+        wire = self.wire(call.name % self.limits.counter_links)
+        if not wire.waiting:
+            wire.asked_at = self.now
+        wire.waiting.append(call)
+        if wire.state == "up":
+            self.do(wire.link.send, tally(call.name, call.amount, call.life_ms))
+
+    def wake(self, after_ms: float, why: object) -> None:
+        self.wake_at(self.now + after_ms, "woke", why)
+
+    def woke(self, why: object) -> None:
+        self.gateway.woke(why)
+
+    # Hosts.
+
+    def host(self, lane: Lane, signal: str) -> None:
+        advance(HOST_LINK, lane, signal, self)
+
+    def host_up(self, lane: Lane, link: Any) -> None:
+        lane.link = link
+        advance(HOST_LINK, lane, "up", self)
+
+    def host_answered(self, lane: Lane, ending: Ending, data: bytes, units: float, used: int) -> None:
+        forward, before = lane.forward, lane.state
+        advance(HOST_LINK, lane, "answered", self)
+        if before == "out":
+            self.ended(forward, ending, data, units, used)
+        elif before == "writing":  # as a host does that has too many connections
+            self.part(lane, Ending.FULL if ending is Ending.FULL else Ending.UNREACHED)
+
+    def host_malformed(self, lane: Lane, why: str) -> None:
+        self.log.event("host malformed", host=lane.place.address, why=why)
+        advance(HOST_LINK, lane, "malformed", self)
+
+    def late(self, lane: Lane, forward: Forward) -> None:
+        if lane.forward is forward:
+            advance(HOST_LINK, lane, "late", self)
+
+    def ended(
+        self, forward: Forward, ending: Ending, data: bytes = b"", units: float = 0.0, used: int = 0
+    ) -> None:
+        """A forward has its one outcome. An answer for a task that is over goes nowhere."""
+        del self.lanes[forward]
+        errand = forward.task
+        self.counts["forward_" + ending.value] += 1
+        over = errand.answer is not None
+        if ending is Ending.DONE and not over:
+            self.counts["done"] += 1
+            self.finish(errand, data)
+            over = True
+        self.gateway.ended(forward, ending, self.now - forward.sent_at, over, units, used)
+
+    def write(self, lane: Lane) -> None:
+        left_ms = lane.stop_at - self.now
+        self.do(lane.link.send, lane.forward.task.ask.within(left_ms))
+
+    def rest(self, lane: Lane) -> str | None:
+        lane.forward, lane.idle_since = None, self.now
+        if lane.place.status is Status.READY and self.state != "ended":
+            lane.place.idle.append(lane)
+            return None
+        return "aged"
+
+    def never_ran(self, lane: Lane) -> None:
+        self.part(lane, Ending.UNREACHED)
+
+    def cut_short(self, lane: Lane) -> None:
+        """Its last byte was not written, and now never will be."""
+        self.do(lane.link.abort)
+        self.part(lane, Ending.UNREACHED)
+
+    def broken(self, lane: Lane) -> None:
+        self.part(lane, Ending.RESET)
+
+    def broke_off(self, lane: Lane) -> None:
+        self.do(lane.link.abort)
+        self.part(lane, Ending.RESET)
+
+    def overdue(self, lane: Lane) -> None:
+        self.do(lane.link.abort)
+        self.part(lane, Ending.TIMEOUT)
+        self.suspect(lane.place)
+
+    def called_off(self, lane: Lane) -> None:
+        self.do(lane.link.abort)
+        self.part(lane, Ending.WITHDRAWN)
+        self.suspect(lane.place)
+
+    def part(self, lane: Lane, ending: Ending) -> None:
+        self.host_links -= 1
+        forward, lane.forward = lane.forward, None
+        self.inbox.append((self.ended, forward, ending))
+
+    def suspect(self, place: Place) -> None:
+        """Guards against connections that look open and lead nowhere, as after a machine vanished: those that
+        wait at a host that left a forward unanswered are closed, so that the next forward there dials and,
+        where it does not come up, provably never ran. Hurts a slow host by some handshakes."""
+        idle, place.idle = place.idle, []
+        for lane in idle:
+            advance(HOST_LINK, lane, "aged", self)
+
+    def drop(self, lane: Lane) -> None:
+        self.do(lane.link.abort)
+        self.forget_lane(lane)
+
+    def abort(self, record: Any) -> None:
+        self.do(record.link.abort)
+
+    def forget_lane(self, lane: Lane) -> None:
+        self.host_links -= 1
+        if lane in lane.place.idle:
+            lane.place.idle.remove(lane)
+
+    def spare_link(self) -> bool:
+        """Guards against running out of descriptors: an idle connection elsewhere makes room."""
+        for place in self.places.values():
+            if place.idle:
+                advance(HOST_LINK, place.idle[0], "aged", self)
+                return True
+        return False
+
+    # The counter.
+
+    def wire(self, number: int) -> Wire:
+        """The connection in use for these names: one for a name, so that its totals come in order."""
+        wire = self.wires[number]
+        if wire is None:
+            wire = self.wires[number] = Wire(number)
+            self.counts["counter_dials"] += 1
+            self.do(self.doors.dial_counter, wire)
+        return wire
+
+    def counter(self, wire: Wire, signal: str) -> None:
+        advance(COUNTER_LINK, wire, signal, self)
+
+    def counter_up(self, wire: Wire, link: Any) -> None:
+        wire.link = link
+        advance(COUNTER_LINK, wire, "up", self)
+
+    def counter_answered(self, wire: Wire, ending: Ending, total: float) -> None:
+        wire.heard_at = self.now
+        call = wire.waiting.popleft() if wire.waiting else None
+        if call is not None:
+            self.counts["call_" + ending.value] += 1
+            self.gateway.counted(call, ending, total)
+        if not wire.waiting:
+            advance(COUNTER_LINK, wire, "emptied", self)
+
+    def flush(self, wire: Wire) -> None:
+        wire.heard_at = self.now
+        calls = [tally(call.name, call.amount, call.life_ms) for call in wire.waiting]
+        if calls:
+            self.do(wire.link.send, b"".join(calls))
+
+    def never_added(self, wire: Wire) -> None:
+        self.lost(wire, Ending.UNREACHED)
+
+    def unknown(self, wire: Wire) -> None:
+        self.lost(wire, Ending.TIMEOUT)
+
+    def unknown_abort(self, wire: Wire) -> None:
+        self.do(wire.link.abort)
+        self.lost(wire, Ending.TIMEOUT)
+
+    def lost(self, wire: Wire, ending: Ending) -> None:
+        for call in wire.waiting:
+            if call is not None:
+                self.counts["call_" + ending.value] += 1
+                self.inbox.append((self.gateway.counted, call, ending, 0.0))
+        wire.waiting.clear()
+        self.old_wires.pop(wire, None)
+        if self.wires[wire.number] is wire:
+            self.wires[wire.number] = None
+            self.wake_at(self.now + 5 * self.limits.redial_ms, "counter due", wire.number)
+
+    def replace(self, wire: Wire) -> None:
+        """Guards against a connection that has gone silent, by death or by a long queue: calls go on over a
+        new one, and the old one is kept for late totals. Hurts a slow counter by some connections."""
+        self.log.event("counter silent", waiting=len(wire.waiting), heard_ms_ago=self.now - wire.heard_at)
+        wire.old_since, self.old_wires[wire] = self.now, None
+        self.wires[wire.number] = None
+        self.wire(wire.number)
+        if len(self.old_wires) > self.limits.counter_old:
+            advance(COUNTER_LINK, next(iter(self.old_wires)), "lingered", self)
+
+    # Discovery.
+
+    def dial_watch(self, watch: Watch) -> None:
+        self.counts["watches"] += 1
+        self.do(self.doors.dial_watch, watch)
+
+    def watch_signal(self, watch: Watch, signal: str) -> None:
+        if watch is self.watch:
+            advance(WATCH, watch, signal, self)
+
+    def watch_up(self, watch: Watch, link: Any) -> None:
+        watch.link, watch.heard_at = link, self.now
+        self.watch_signal(watch, "up")
+
+    def watch_due(self) -> None:
+        advance(WATCH, self.watch, "due", self)
+
+    def watch_later(self, watch: Watch) -> None:
+        self.watch = Watch(watch.version)
+        self.wake_at(self.now + self.limits.redial_ms, "watch due")
+
+    def watch_anew(self, watch: Watch) -> None:
+        """Guards against a watch that is open and dead: without its line in time it opens again."""
+        self.log.event("watch silent", heard_ms_ago=self.now - watch.heard_at, version=watch.version)
+        self.do(watch.link.abort)
+        self.watch = Watch(watch.version)
+        advance(WATCH, self.watch, "due", self)
+
+    def listed(self, watch: Watch, listing: Listing | None) -> None:
+        if watch is not self.watch:
+            return
+        watch.heard_at = self.now
+        if listing is not None:
+            watch.version = listing.version
+            self.entries(listing)
+        self.mode("listed")
+
+    def entries(self, listing: Listing) -> None:
+        self.counts["lists"] += 1
+        sightings = []
+        for entry in listing.entries:
+            place = self.places.get(entry.name)
+            if place is None:
+                place = self.places[entry.name] = Place(address=entry.address)
+            if entry.started_at > place.started_at or (entry.address and entry.address != place.address):
+                place.address = entry.address or place.address
+                self.suspect(place)  # connections to a process that is no more
+            sightings.append(
+                Sighting(
+                    place, entry.size, entry.make, entry.zone, entry.cell, entry.started_at, entry.status
+                )
+            )
+        self.gateway.roster(sightings, listing.whole)
+        for place in self.places.values():
+            if place.idle and place.status is not Status.READY:
+                self.suspect(place)
+
+    # Now and then.
+
+    def sweep(self) -> None:
+        now, limits = self.now, self.limits
+        for wire in self.wires:
+            if wire is None or wire.state != "up":
+                continue
+            if wire.waiting and now - max(wire.heard_at, wire.asked_at) > limits.counter_silence_ms:
+                advance(COUNTER_LINK, wire, "silent", self)
+            elif not wire.waiting and now - wire.heard_at > limits.counter_ping_ms:
+                wire.asked_at = now
+                wire.waiting.append(None)
+                self.do(wire.link.send, PING)
+        for wire in list(self.old_wires):
+            if now - wire.old_since > limits.counter_linger_ms:
+                advance(COUNTER_LINK, wire, "lingered", self)
+        if self.watch.state == "open" and now - self.watch.heard_at > limits.watch_silence_ms:
+            advance(WATCH, self.watch, "silent", self)
+        for place in self.places.values():
+            while place.idle and now - place.idle[0].idle_since > limits.host_idle_ms:
+                advance(HOST_LINK, place.idle[0], "aged", self)
+        for caller in list(self.callers):
+            if not caller.link.half():
+                caller.half_since = 0.0
+            elif not caller.half_since:
+                caller.half_since = now
+            elif now - caller.half_since > limits.half_ms and not caller.queue:
+                self.malformed(caller, "command not ended")  # guards against half commands kept for ever
+        self.wake_at(now + limits.sweep_ms, "sweep")
+
+
+INPUTS = {
+    "start": Reducer.start,
+    "mode": Reducer.mode,
+    "sweep": Reducer.sweep,
+    "woke": Reducer.woke,
+    "client up": Reducer.client_up,
+    "client down": Reducer.client_down,
+    "client choked": Reducer.choked,
+    "client eased": Reducer.eased,
+    "asked": Reducer.asked,
+    "command": Reducer.command,
+    "malformed": Reducer.malformed,
+    "host up": Reducer.host_up,
+    "host down": lambda self, lane: self.host(lane, "down"),
+    "host answered": Reducer.host_answered,
+    "host malformed": Reducer.host_malformed,
+    "written": lambda self, lane: self.host(lane, "written"),
+    "late": Reducer.late,
+    "counter up": Reducer.counter_up,
+    "counter down": lambda self, wire: self.counter(wire, "down"),
+    "counter answered": Reducer.counter_answered,
+    "counter due": Reducer.wire,
+    "watch up": Reducer.watch_up,
+    "watch down": lambda self, watch: self.watch_signal(watch, "down"),
+    "watch due": Reducer.watch_due,
+    "listed": Reducer.listed,
+}
