The door's log of the decisions is a method again; a fault errs the tasks it strands

Checked: the log shows a TypeError in Fleet.ended on each change of a host's mode ('Log' object is not callable), and a probe of overdue tasks shows them with no forward out and their last one withdrawn. Ruled out: late timers (no answer left after its time) and clients that hang up (they did so only 50 ms after it). At fault: Reducer.log was the diary, where the door wants a method.

--- a/granitedock/service/log.py
+++ b/granitedock/service/log.py
@@ -1,7 +1,7 @@
 """What the gateway writes about itself: one JSON line an event, and the counters.
 
-Owns standard error and the counters' names. It must never hold a line back or stop the gateway: lines
-past the most for a second are counted and dropped.
+Owns standard error and the counters' names. It must never flood: lines past the most for
+a second are counted and dropped.
 """
 
 from __future__ import annotations
@@ -32,10 +32,6 @@
         except OSError:
             self.dropped += 1  # guards against a reader of the log that has gone
 
-    def decision(self, line: str) -> None:
-        """A change of mode, in the decisions' own words."""
-        self.event("decision", line=line)
-
     def counters(self, event: str) -> None:
         self.lines = 0  # asked for, so never dropped
         self.event(event, lines_dropped=self.dropped, **dict(sorted(self.counts.items())))
--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -152,10 +152,10 @@
     """Inputs in, effects out. An effect is a function with its arguments."""
 
     def __init__(
-        self, limits: Limits, born: dict[str, Any], seed: int, known: Listing | None, doors: Any, log: Any
+        self, limits: Limits, born: dict[str, Any], seed: int, known: Listing | None, doors: Any, diary: Any
     ) -> None:
-        self.limits, self.doors, self.log, self.now = limits, doors, log, 0.0
-        self.counts: Counter[str] = log.counts
+        self.limits, self.doors, self.diary, self.now = limits, doors, diary, 0.0
+        self.counts: Counter[str] = diary.counts
         self.effects: list[tuple] = []
         self.inbox: deque[tuple] = deque()
         self.state = "starting"
@@ -187,6 +187,17 @@
         effects, self.effects = self.effects, []
         return effects
 
+    def fault(self) -> list[tuple]:
+        """Guards against a fault met in the decisions or here: a task that nothing will bring back is errored,
+        which promises nothing. Says nothing of the cause; the log has it."""
+        busy = {forward.task for forward in self.lanes}
+        for errand in list(self.errands):
+            if errand.state != "counting" and errand not in busy:
+                errand.state = "over"
+                self.error(errand)
+        effects, self.effects = self.effects, []
+        return effects
+
     def do(self, *effect: Any) -> None:
         self.effects.append(effect)
 
@@ -220,7 +231,7 @@
         before = self.state
         advance(MODE, self, signal, self)
         if self.state != before:
-            self.log.event("mode", was=before, now=self.state, tasks=len(self.errands))
+            self.diary.event("mode", was=before, now=self.state, tasks=len(self.errands))
 
     def open_up(self, _self) -> None:
         for caller, reply in self.pings:
@@ -295,7 +306,7 @@
 
     def malformed(self, caller: Caller, why: str) -> None:
         self.counts["malformed"] += 1
-        self.log.event("malformed", why=why)
+        self.diary.event("malformed", why=why)
         if caller.state == "up":
             caller.state = "spoilt"  # what came before is still answered, then the connection ends
             reply = Reply()
@@ -435,6 +446,9 @@
     def woke(self, why: object) -> None:
         self.gateway.woke(why)
 
+    def log(self, line: str) -> None:
+        self.diary.event("decision", line=line)
+
     # Hosts.
 
     def host(self, lane: Lane, signal: str) -> None:
@@ -453,7 +467,7 @@
             self.part(lane, Ending.FULL if ending is Ending.FULL else Ending.UNREACHED)
 
     def host_malformed(self, lane: Lane, why: str) -> None:
-        self.log.event("host malformed", host=lane.place.address, why=why)
+        self.diary.event("host malformed", host=lane.place.address, why=why)
         advance(HOST_LINK, lane, "malformed", self)
 
     def late(self, lane: Lane, forward: Forward) -> None:
@@ -600,7 +614,7 @@
     def replace(self, wire: Wire) -> None:
         """Guards against a connection that has gone silent, by death or by a long queue: calls go on over a
         new one, and the old one is kept for late totals. Hurts a slow counter by some connections."""
-        self.log.event("counter silent", waiting=len(wire.waiting), heard_ms_ago=self.now - wire.heard_at)
+        self.diary.event("counter silent", waiting=len(wire.waiting), heard_ms_ago=self.now - wire.heard_at)
         wire.old_since, self.old_wires[wire] = self.now, None
         self.wires[wire.number] = None
         self.wire(wire.number)
@@ -630,7 +644,7 @@
 
     def watch_anew(self, watch: Watch) -> None:
         """Guards against a watch that is open and dead: without its line in time it opens again."""
-        self.log.event("watch silent", heard_ms_ago=self.now - watch.heard_at, version=watch.version)
+        self.diary.event("watch silent", heard_ms_ago=self.now - watch.heard_at, version=watch.version)
         self.do(watch.link.abort)
         self.watch = Watch(watch.version)
         advance(WATCH, self.watch, "due", self)
--- a/granitedock/service/serve.py
+++ b/granitedock/service/serve.py
@@ -139,7 +139,7 @@
             # Guards all other tasks against a fault met with one.
             self.log.counts["faults"] += 1
             self.log.event("fault", input=happened[0], trace=traceback.format_exc())
-            effects, self.reducer.effects = self.reducer.effects, []
+            effects = self.reducer.fault()
         for act, *what in effects:
             try:
                 act(*what)
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -1,5 +1,7 @@
 """The one helper of the stories: a fake host, customers and a counter that answer as told."""
 
+from collections import Counter
+
 from granitedock.policy.decisions import Gateway
 from granitedock.policy.interface import (
     Cold,
@@ -16,6 +18,13 @@
     Status,
     Task,
 )
+from granitedock.service.clients import ClientLink
+from granitedock.service.counter import CounterLink
+from granitedock.service.discovery import WatchLink, listing
+from granitedock.service.hosts import HostLink
+from granitedock.service.limits import Limits
+from granitedock.service.reducer import Reducer
+from granitedock.service.resp import command
 
 READ = Product("read", Kind.HARMLESS, Group.ALL, 0, 1000, 4000, 1, 0, False)
 STAMPED = Product("stamped", Kind.STAMPED, Group.ALL, 3000, 2000, 5000, 1, 0, False)
@@ -98,3 +107,131 @@
     def ends(self, ending, took=50.0, forward=None):
         forward = forward or self.forwards[-1]
         self.gateway.ended(forward, ending, took, ending is Ending.DONE, 0, 0)
+
+
+BORN = {
+    "Me": 0,
+    "Balancers": 1,
+    "Lanes": [
+        {"Name": "read", "Repeat": "safe", "TargetMs": 1000, "GiveUpMs": 4000, "Worth": 1},
+        {"Name": "once", "Repeat": "unsafe", "TargetMs": 1000, "GiveUpMs": 4000, "Worth": 1},
+    ],
+    "Tariffs": [{"Name": "p", "Refill": 10, "MostAtOnce": 20}],
+    "Allowed": {"MaxAttempts": 3, "Cancel": True, "ConnIdleMs": 10000, "MostHeld": 100},
+    "Safety": {"ColdFrom": 0.2, "ColdMs": 1000, "OverloadFactor": 2, "TipAfterMs": 1000},
+    "Specifics": {"Counter": True},
+}
+
+
+class Line:
+    """A transport: what was written to it, and whether it has ended."""
+
+    def __init__(self, link, stuck=False):
+        self.link, self.stuck, self.written, self.closed, self.disconnecting = link, stuck, b"", "", False
+        link.transport = self
+
+    def write(self, data):
+        self.written += data
+
+    def registerProducer(self, producer, streaming):
+        if not streaming:
+            producer.resumeProducing()
+            if not self.stuck:
+                producer.resumeProducing()
+
+    def loseConnection(self):
+        self.closed = self.closed or "closed"
+
+    def abortConnection(self):
+        self.closed = self.closed or "aborted"
+
+    def setTcpNoDelay(self, _on):
+        pass
+
+    unregisterProducer = pauseProducing = resumeProducing = lambda self: None
+
+    def took(self):
+        """What was written since the last look."""
+        data, self.written = self.written, b""
+        return data
+
+
+class Wired:
+    """A reducer with real links on lines that lead nowhere; it is its own doors, reactor and diary."""
+
+    def __init__(self, hosts=2, memory_mb=192, sockets=64):
+        self.now, self.wakes, self.dials, self.lines, self.counts = 100000.0, [], [], [], Counter()
+        self.left = self.shut_at = None
+        self.limits = Limits.told({"limits": {"memory_mb": memory_mb, "sockets": sockets}, "settings": BORN})
+        self.reducer = Reducer(self.limits, BORN, 7, self.listing(1, hosts), self, self)
+        self.tell("start")
+
+    @staticmethod
+    def listing(version, hosts, lifecycle="in_service", whole=True, **more):
+        entries = [
+            {"instanceId": f"h{n}", "hostPort": f"127.0.0.1:{n}", "lifecycle": lifecycle, **more}
+            for n in range(hosts)
+        ]
+        return listing({"generation": version, "reset": whole, "instances": entries})
+
+    def tell(self, *happened):
+        for act, *what in self.reducer.reduce(self.now, *happened):
+            act(*what)
+
+    def event(self, event, **figures):
+        self.lines.append((event, figures))
+
+    def wake(self, due, *what):
+        self.wakes.append((due, *what))
+
+    def dial_host(self, lane, address):
+        self.dials.append((HostLink, lane, "host down"))
+
+    def dial_counter(self, wire):
+        self.dials.append((CounterLink, wire, "counter down"))
+
+    def dial_watch(self, watch):
+        self.dials.append((lambda *a: WatchLink(a[0], "d:1", a[1]), watch, "watch down"))
+
+    def shut(self):
+        self.shut_at = self.now
+
+    def leave(self):
+        self.left = self.now
+
+    def comes_up(self, at=-1, stuck=False):
+        """A dial succeeds."""
+        make, record, _ = self.dials.pop(at)
+        link = make(self.tell, self.limits)
+        link.record = record
+        line = Line(link, stuck)
+        link.connectionMade()
+        return line
+
+    def fails(self, at=-1):
+        _, record, down = self.dials.pop(at)
+        self.tell(down, record)
+
+    def counter_up(self):
+        """All connections to the counter, made at the start."""
+        self.watch = self.comes_up(0)  # dialled first
+        return [self.comes_up(0) for _ in range(self.limits.counter_links)]
+
+    def client(self):
+        link = ClientLink(self.tell, self.limits)
+        line = Line(link)
+        link.connectionMade()
+        return line
+
+    def ask(self, line, product="read", d=3000, more=b"", body=()):
+        text = b"c=%b,t=p,d=%d,units=1,spread=1,first=0%b" % (product.encode(), d, more)
+        name = b"API.READ" if product == "read" else b"API.WRITE"
+        line.link.dataReceived(command(name, b"00000000000000a1", b"0123456789abcdef", text, *body))
+
+    def pass_ms(self, ms):
+        end = self.now + ms
+        while due := sorted((w for w in self.wakes if w[0] <= end), key=lambda w: w[0]):
+            self.wakes.remove(due[0])
+            self.now = max(self.now, due[0][0])
+            self.tell(*due[0][1:])
+        self.now = end
