--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -188,8 +188,8 @@
         return effects
 
     def fault(self) -> list[tuple]:
-        """Guards against a fault met in the decisions or here: a task that nothing will bring back is errored,
-        which promises nothing. Says nothing of the cause; the log has it."""
+        """Guards against a fault met in the decisions or here: a task that nothing will bring back is
+        errored, which promises nothing. Says nothing of the cause; the log has it."""
         busy = {forward.task for forward in self.lanes}
         for errand in list(self.errands):
             if errand.state != "counting" and errand not in busy:
