--- a/granitedock/ring.py
+++ b/granitedock/ring.py
@@ -19,6 +19,7 @@
         self.step = span_ms / buckets
         self.stamps = [-1] * buckets
         self.cells = [(0.0, 0.0)] * buckets
+        self.summed_at, self.summed = -1, (0, 0)  # the sums as last asked for, until something is added
 
     def add(self, now: float, first: float, second: float) -> None:
         stamp = int(now // self.step)
@@ -26,11 +27,15 @@
         old = self.cells[at] if self.stamps[at] == stamp else (0.0, 0.0)
         self.stamps[at] = stamp
         self.cells[at] = (old[0] + first, old[1] + second)
+        self.summed_at = -1
 
     def sums(self, now: float) -> tuple[float, float]:
-        oldest = int(now // self.step) - len(self.cells)
-        live = [cell for stamp, cell in zip(self.stamps, self.cells) if stamp > oldest]
-        return sum(cell[0] for cell in live), sum(cell[1] for cell in live)
+        newest = int(now // self.step)
+        if newest != self.summed_at:
+            oldest = newest - len(self.cells)
+            live = [cell for stamp, cell in zip(self.stamps, self.cells) if stamp > oldest]
+            self.summed_at, self.summed = newest, (sum(c[0] for c in live), sum(c[1] for c in live))
+        return self.summed
 
     def mean(self, now: float, weight: float, guess: float) -> float:
         """First by second, begun with a guess that counts as so many."""
