--- a/granitedock/service/limits.py
+++ b/granitedock/service/limits.py
@@ -27,7 +27,8 @@
     depth: int  # of arrays in arrays
     tasks: int  # held at once
     queue: int  # commands of one client's connection that wait for answers
-    client_links: int
+    client_links: int  # beyond this one that waits for nothing is closed
+    client_most: int  # beyond this none is taken in
     host_links: int
     counter_links: int  # in use at once
     counter_old: int  # silent ones that are kept for late totals
@@ -65,9 +66,10 @@
             unread=256 * KIB,
             items=64,
             depth=4,
-            tasks=int(allowed.get("MostHeld") or 20000),
+            tasks=min(int(allowed.get("MostHeld") or 20000), int(memory / (32 * KIB))),
             queue=64,
-            client_links=max(8, int(sockets * 0.45)),
+            client_links=max(8, int(sockets * 0.4)),
+            client_most=max(12, int(sockets * 0.5)),
             host_links=max(8, int(sockets * 0.4)),
             counter_links=4,
             counter_old=8,
--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -38,7 +38,8 @@
 HOST_LINK = {
     ("dialling", "up"): ("writing", "write"),
     ("dialling", "down"): ("gone", "never_ran"),
-    ("dialling", "late"): ("gone", "never_ran"),
+    ("dialling", "late"): ("gone", "never_sent"),
+    ("dialling", "no room"): ("gone", "never_sent"),
     ("dialling", "withdrawn"): ("gone", "never_ran"),
     ("writing", "written"): ("out", None),
     ("writing", "answered"): ("gone", "abort"),  # before all of it was written, so it never ran
@@ -114,6 +115,7 @@
     ask: Ask | None = None
     size: int = 0
     answer: bytes | None = None
+    alarm: Wake | None = None
 
 
 @dataclass(eq=False, slots=True)
@@ -198,17 +200,6 @@
         effects, self.effects = self.effects, []
         return effects
 
-    def fault(self) -> list[tuple]:
-        """Guards against a fault met in the decisions or here: a task that nothing will bring back is
-        errored, which promises nothing. Says nothing of the cause; the log has it."""
-        busy = {forward.task for forward in self.lanes}
-        for errand in list(self.errands):
-            if errand.state != "counting" and errand not in busy:
-                errand.state = "over"
-                self.error(errand)
-        effects, self.effects = self.effects, []
-        return effects
-
     def do(self, *effect: Any) -> None:
         self.effects.append(effect)
 
@@ -260,7 +251,7 @@
         for caller in list(self.callers):
             if not caller.queue:
                 self.hang_up(caller)
-        return None if self.errands else "idle"
+        return None if self.callers else "idle"
 
     def answer_rest(self, _self) -> str | None:
         """Guards against a stop that finds tasks in hand: an error promises nothing, and comes in time."""
@@ -278,14 +269,20 @@
         self.callers[caller] = None
         self.counts["client_links"] += 1
         if len(self.callers) > self.limits.client_links:
-            # Guards against running out of descriptors: one that waits for nothing makes room.
-            idle = next((other for other in self.callers if not other.queue and other is not caller), None)
-            if idle is not None:
-                self.hang_up(idle)
+            # Guards against running out of descriptors: one that waits for nothing makes room, and where
+            # all wait for answers, no more are taken in until one ends.
+            idle = (other for other in self.callers if not other.queue and other.state == "up")
+            oldest = next(idle, caller)
+            if oldest is not caller:
+                self.hang_up(oldest)
+            elif len(self.callers) > self.limits.client_most:
+                self.do(self.doors.take_in, False)
 
     def client_down(self, caller: Caller) -> None:
         caller.state = "gone"
         self.callers.pop(caller, None)
+        if len(self.callers) == self.limits.client_most:
+            self.do(self.doors.take_in, True)
         for waiting in caller.queue:
             if isinstance(waiting, Errand) and waiting.answer is None:
                 waiting.answer = b""
@@ -295,11 +292,11 @@
             elif waiting.answer is not None:
                 self.held -= len(waiting.answer)
         caller.queue.clear()
-        self.settled()
+        if self.state == "closing" and not self.callers:
+            self.inbox.append((self.mode, "idle"))
 
     def hang_up(self, caller: Caller) -> None:
         caller.state = "closing"
-        self.callers.pop(caller, None)
         self.do(caller.link.close)
 
     def command(self, caller: Caller, name: bytes) -> None:
@@ -311,7 +308,7 @@
             if self.state == "starting":
                 self.pings.append((caller, reply))
             else:
-                self.fill(caller, reply, PONG)
+                self.fill(caller, reply, PONG if self.state != "closing" else b"-ERR closing\r\n")
         elif name in (b"CLIENT", b"SELECT"):
             self.fill(caller, reply, b"+OK\r\n")
         else:
@@ -359,8 +356,17 @@
             errand.state = "over"
             self.defer(errand, None)
             return
+        # Guards against whatever leaves a task with nothing that will bring it back, as a fault in a decision
+        # does: an error promises nothing, and comes in time.
+        errand.alarm = self.wake_at(cutoff_at + self.limits.margin_ms / 2, "forgotten", errand)
         self.gateway.take(errand)
 
+    def forgotten(self, errand: Errand) -> None:
+        self.counts["forgotten"] += 1
+        self.diary.event("forgotten", state=errand.state, forwards=len(errand.forwards))
+        errand.state = "over"
+        self.error(errand)
+
     def choked(self, caller: Caller) -> None:
         caller.choked = True
 
@@ -394,16 +400,13 @@
         self.forget(errand)
         if caller.state in ("up", "spoilt"):
             self.fill(caller, errand, answer)
-        self.settled()
 
     def forget(self, errand: Errand) -> None:
         self.errands.pop(errand, None)
         self.held -= errand.size
         errand.size = 0
-
-    def settled(self) -> None:
-        if self.state == "closing" and not self.errands:
-            self.inbox.append((self.mode, "idle"))
+        if errand.alarm is not None:
+            errand.alarm.name = None
 
     # The door of the decisions.
 
@@ -423,7 +426,7 @@
             lane = self.lanes[forward] = Lane(place, "dialling", forward, stop_at)
             self.host_links += 1
             if self.host_links > self.limits.host_links and not self.spare_link():
-                self.inbox.append((self.host, lane, "down"))
+                self.inbox.append((self.host, lane, "no room"))
             else:
                 self.counts["host_dials"] += 1
                 self.do(self.doors.dial_host, lane, place.address)
@@ -523,6 +526,10 @@
     def never_ran(self, lane: Lane) -> None:
         self.part(lane, Ending.UNREACHED)
 
+    def never_sent(self, lane: Lane) -> None:
+        """Its time was over, or we had no connection for it: that says nothing of the host."""
+        self.part(lane, Ending.MOOT)
+
     def cut_short(self, lane: Lane) -> None:
         """Its last byte was not written, and now never will be."""
         self.do(lane.link.abort)
@@ -742,6 +749,7 @@
     "client choked": Reducer.choked,
     "client eased": Reducer.eased,
     "asked": Reducer.asked,
+    "forgotten": Reducer.forgotten,
     "command": Reducer.command,
     "malformed": Reducer.malformed,
     "host up": Reducer.host_up,
--- a/granitedock/service/serve.py
+++ b/granitedock/service/serve.py
@@ -113,6 +113,9 @@
     def dial_watch(self, watch: Any) -> None:
         self.watch.dial(watch, self.told["discovery"])
 
+    def take_in(self, on: bool) -> None:
+        (self.port.startReading if on else self.port.stopReading)()
+
     def shut(self) -> None:
         self.port.stopListening()
 
@@ -156,7 +159,7 @@
             # Guards all other tasks against a fault met with one.
             self.log.counts["faults"] += 1
             self.log.event("fault", input=happened[0], trace=traceback.format_exc())
-            effects = self.reducer.fault()
+            effects, self.reducer.effects = self.reducer.effects, []
         for act, *what in effects:
             try:
                 act(*what)
