--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -19,6 +19,7 @@
 from granitedock.service.counter import PING, tally
 from granitedock.service.discovery import Listing
 from granitedock.service.limits import Limits
+from granitedock.service.resp import bulk
 
 PONG = b"+PONG\r\n"
 ERRORED = b"-ERR failed\r\n"
@@ -309,11 +310,19 @@
                 self.pings.append((caller, reply))
             else:
                 self.fill(caller, reply, PONG if self.state != "closing" else b"-ERR closing\r\n")
+        elif name == b"INFO":
+            self.fill(caller, reply, bulk(b"".join(b"%b:%d\r\n" % pair for pair in self.figures())))
         elif name in (b"CLIENT", b"SELECT"):
             self.fill(caller, reply, b"+OK\r\n")
         else:
             self.fill(caller, reply, b"-ERR unknown command\r\n")
 
+    def figures(self) -> list[tuple[bytes, int]]:
+        """The counters, and how much is in hand now."""
+        now = {"tasks_now": len(self.errands), "client_links_now": len(self.callers)}
+        now |= {"host_links_now": self.host_links, "held_bytes_now": self.held}
+        return [(name.encode(), number) for name, number in sorted({**self.counts, **now}.items())]
+
     def malformed(self, caller: Caller, why: str) -> None:
         self.counts["malformed"] += 1
         self.diary.event("malformed", why=why)
