--- a/granitedock/__main__.py
+++ b/granitedock/__main__.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import socket
-from importlib import metadata
 from pathlib import Path
 
 import click
 
+from granitedock import __version__
+
 
 @click.group(invoke_without_command=True)
 @click.pass_context
@@ -78,10 +79,7 @@
 @main.command()
 def version() -> None:
     """Print the version."""
-    try:
-        click.echo(metadata.version("granitedock"))
-    except metadata.PackageNotFoundError:
-        click.echo("0.1.0 (not installed)")
+    click.echo(__version__)
 
 
 if __name__ == "__main__":
--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -165,9 +165,16 @@
     """Inputs in, effects out. An effect is a function with its arguments."""
 
     def __init__(
-        self, limits: Limits, born: dict[str, Any], seed: int, known: Listing | None, doors: Any, diary: Any
+        self,
+        now: float,
+        limits: Limits,
+        born: dict[str, Any],
+        seed: int,
+        known: Listing | None,
+        doors: Any,
+        diary: Any,
     ) -> None:
-        self.limits, self.doors, self.diary, self.now = limits, doors, diary, 0.0
+        self.limits, self.doors, self.diary, self.now = limits, doors, diary, now
         self.counts: Counter[str] = diary.counts
         self.effects: list[tuple] = []
         self.inbox: deque[tuple] = deque()
@@ -186,14 +193,21 @@
         self.wires: list[Wire | None] = [None] * limits.counter_links
         self.old_wires: dict[Wire, None] = {}
         self.watch = Watch(0)
-        self.born, self.seed, self.known = born, seed, known
-        self.gateway: Gateway | None = None
+        self.known = known
+        self.gateway = Gateway(
+            self,
+            now,
+            birth.seat(seed, born),
+            list(self.products.values()),
+            birth.leave(born),
+            birth.cold(born),
+            birth.has_counter(born),
+        )
 
     def reduce(self, now: float, name: str, *what: Any) -> list[tuple]:
         """One input, with all that follows from it here."""
         self.now = now
-        if self.gateway is not None:
-            self.gateway.at(now)
+        self.gateway.at(now)
         INPUTS[name](self, *what)
         while self.inbox:
             later, *what = self.inbox.popleft()
@@ -213,15 +227,6 @@
 
     def start(self) -> None:
         """The list as we last had it serves until discovery speaks."""
-        self.gateway = Gateway(
-            self,
-            self.now,
-            birth.seat(self.seed, self.born),
-            list(self.products.values()),
-            birth.leave(self.born),
-            birth.cold(self.born),
-            birth.has_counter(self.born),
-        )
         if self.known is not None:
             self.entries(self.known)
             self.watch.version = self.known.version
--- a/granitedock/service/serve.py
+++ b/granitedock/service/serve.py
@@ -9,6 +9,7 @@
 import gc
 import heapq
 import signal
+import sys
 import time
 import traceback
 from collections import deque
@@ -17,7 +18,9 @@
 
 import orjson
 from twisted.internet.epollreactor import EPollReactor
+from twisted.internet.error import CannotListenError
 from twisted.internet.main import installReactor
+from twisted.logger import globalLogBeginner
 
 from granitedock.service.clients import ClientDoor
 from granitedock.service.counter import CounterLink
@@ -135,7 +138,8 @@
         self.doors = Doors(reactor, self.tell, reactor.wakes, told, limits)
         known = listing(told["known"]) if told.get("known") else None
         seed = int(told["seed"], 16)
-        self.reducer = Reducer(limits, told["settings"], seed, known, self.doors, self.log)
+        born = told["settings"]
+        self.reducer = Reducer(self.clock(), limits, born, seed, known, self.doors, self.log)
         self.inbox: deque[tuple] = deque()
         self.busy = False
         self.listen = told["listen"]
@@ -178,6 +182,12 @@
         gc.collect()
         gc.freeze()
 
+    def trouble(self, event: dict[str, Any]) -> None:
+        """What the network library caught and only tells its own log."""
+        if "log_failure" in event:
+            self.log.counts["faults"] += 1
+            self.log.event("fault", input="network", trace=event["log_failure"].getTraceback())
+
     def stop_soon(self) -> None:
         self.tell("mode", "ending")
 
@@ -192,12 +202,16 @@
 
 def serve(path: str) -> int:
     """Serve as the file says, until told to stop."""
-    told = orjson.loads(Path(path).read_bytes())
     reactor = SteadyReactor(Wakes(Clock()))
     installReactor(reactor)
-    service = Service(told, reactor)
+    try:
+        service = Service(orjson.loads(Path(path).read_bytes()), reactor)
+        service.start()
+    except (OSError, ValueError, KeyError, TypeError, AttributeError, CannotListenError) as fault:
+        print(f"granitedock: cannot start by {path}: {type(fault).__name__}: {fault}", file=sys.stderr)
+        return 1
+    globalLogBeginner.beginLoggingTo([service.trouble], redirectStandardIO=False)
     reactor.callWhenRunning(service.signals)
-    reactor.callWhenRunning(service.start)
     reactor.run()
     service.log.counters("counters at exit")
     return 0
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -166,7 +166,7 @@
         self.now, self.wakes, self.dials, self.lines, self.counts = 100000.0, [], [], [], Counter()
         self.left = self.shut_at = None
         self.limits = Limits.told({"limits": {"memory_mb": memory_mb, "sockets": sockets}, "settings": BORN})
-        self.reducer = Reducer(self.limits, BORN, 7, self.listing(1, hosts), self, self)
+        self.reducer = Reducer(self.now, self.limits, BORN, 7, self.listing(1, hosts), self, self)
         self.tell("start")
 
     @staticmethod
