--- a/granitedock/policy/interface.py
+++ b/granitedock/policy/interface.py
@@ -50,7 +50,7 @@
     GONE = "gone"
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, eq=False, slots=True)
 class Product:
     name: str
     kind: Kind
@@ -63,7 +63,7 @@
     stream: bool
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, eq=False, slots=True)
 class Plan:
     name: str
     rate: float
--- a/granitedock/service/clients.py
+++ b/granitedock/service/clients.py
@@ -12,8 +12,9 @@
 from twisted.internet.protocol import Factory
 
 from granitedock.service.limits import Limits
-from granitedock.service.resp import Fault, RespReceiver, bulk
+from granitedock.service.resp import RespReceiver, bulk, whole
 
+HEX = b"0123456789abcdefABCDEF"
 TASKS = (b"API.READ", b"API.WRITE")
 
 
@@ -46,9 +47,10 @@
 
 def read(words: list[Any], parts: list[bytes]) -> Ask:
     """
+    >>> from granitedock.service.resp import command
     >>> text = b"c=r,t=p,d=480,units=2,spread=3,first=1"
     >>> words = [b"API.READ", b"00000000000000a1", b"9b1f03aa5c7e2d41", text]
-    >>> ask = read(words, [b"*4\\r\\n", *(part for word in words for part in bulk(word).split(b"\\r\\n", 1))])
+    >>> ask = read(words, command(*words).split(b"\\r\\n")[:-1])
     >>> ask.product, ask.customer, ask.left_ms, ask.spread, ask.head, ask.tail
     ('r', 161, 480.0, 3, b'c=r,t=p,d=', b',units=2,spread=3,first=1')
     """
@@ -59,7 +61,7 @@
         fields = dict(pair.split(b"=", 1) for pair in text.split(b","))
         at = 0 if text.startswith(b"d=") else text.index(b",d=") + 1
         end = text.find(b",", at)
-        if len(words[1]) != 16:
+        if len(words[1]) != 16 or words[1].translate(None, HEX):
             raise ValueError("a customer has 16 digits")
         left_ms = float(fields[b"d"])
         if not 0.0 <= left_ms < 1e9:
@@ -71,10 +73,10 @@
             left_ms,
             max(0.0, float(fields.get(b"units", 1))),
             max(1, int(fields.get(b"spread", 1))),
-            b"".join(parts[:7]),
+            whole(parts[:7]),
             text[: at + 2],
             text[end:] if end >= 0 else b"",
-            b"".join(parts[9:]),
+            whole(parts[9:]) if len(parts) > 9 else b"",
         )
     except (ValueError, KeyError) as fault:
         raise Unreadable(f"task not readable: {fault}") from None
@@ -101,8 +103,7 @@
         if type(value) is not list or not value or type(value[0]) is not bytes:
             self.spoil("not a command")
             return
-        name = value[0].upper()
-        if name in TASKS:
+        if value[0] in TASKS:
             try:
                 ask = read(value, parts)
             except Unreadable as why:
@@ -110,7 +111,7 @@
             else:
                 self.tell("asked", self.record, ask)
         else:
-            self.tell("command", self.record, name)
+            self.tell("command", self.record, value[0].upper())
 
     def malformed(self, why: str) -> None:
         self.tell("malformed", self.record, why)
@@ -146,6 +147,3 @@
 
     def buildProtocol(self, addr) -> ClientLink:
         return ClientLink(self.tell, self.limits)
-
-
-__all__ = ["Ask", "ClientDoor", "ClientLink", "Fault", "Unreadable", "read"]
--- a/granitedock/service/hosts.py
+++ b/granitedock/service/hosts.py
@@ -12,7 +12,7 @@
 
 from granitedock.policy.interface import Ending
 from granitedock.service.limits import Limits
-from granitedock.service.resp import Fault, RespReceiver
+from granitedock.service.resp import Fault, RespReceiver, whole
 
 
 def figures(told: Any) -> tuple[float, int]:
@@ -52,9 +52,9 @@
     def received(self, value: Any, parts: list[bytes]) -> None:
         if type(value) is list and value and type(value[0]) is bytes:
             units, used = figures(value[1] if len(value) > 1 else None)
-            self.tell("host answered", self.record, Ending.DONE, b"".join(parts), units, used)
+            self.tell("host answered", self.record, Ending.DONE, whole(parts), units, used)
         elif type(value) is bytes:
-            self.tell("host answered", self.record, Ending.DONE, b"".join(parts), 0.0, 0)
+            self.tell("host answered", self.record, Ending.DONE, whole(parts), 0.0, 0)
         else:
             busy = type(value) is Fault and value.text.split(b" ", 1)[0] == b"BUSY"
             ending = Ending.FULL if busy else Ending.ERROR
--- a/granitedock/service/resp.py
+++ b/granitedock/service/resp.py
@@ -36,8 +36,27 @@
     return b"*%d\r\n" % len(words) + b"".join(bulk(word) for word in words)
 
 
+def length(digits: bytes) -> int:
+    """A length as it must be written, else -1: what is passed on must be in the usual form.
+
+    >>> length(b"16"), length(b"0"), length(b"016"), length(b"+1"), length(b"")
+    (16, 0, -1, -1, -1)
+    """
+    return int(digits) if digits.isdigit() and (digits[0] != 48 or digits == b"0") else -1
+
+
+def whole(parts: list[bytes]) -> bytes:
+    """A value's bytes from its pieces.
+
+    >>> whole([b"$2", b"ab"])
+    b'$2\\r\\nab\\r\\n'
+    """
+    return b"\r\n".join(parts) + b"\r\n"
+
+
 class RespReceiver(LineReceiver):
-    """Calls `received` with each whole value and its bytes, and `malformed` once, after which it is deaf."""
+    """Calls `received` with each whole value and the pieces of its bytes, which stood between line ends, and
+    `malformed` once, after which it is deaf."""
 
     def __init__(self, line: int, value: int, whole: int, items: int, depth: int) -> None:
         self.MAX_LENGTH, self.most_value, self.most_whole = line, value, whole
@@ -73,8 +92,44 @@
         self.malformed(why)
 
     def dataReceived(self, data: bytes) -> None:
-        if not self.deaf:
-            super().dataReceived(data)
+        if self.deaf or (data and not self.half() and not self.paused and self.flat(data)):
+            return
+        super().dataReceived(data)
+
+    def flat(self, data: bytes) -> bool:
+        """The short way for what nearly always comes: whole values, at most one array deep, with no line end
+        inside. Anything else, and all that is malformed, goes the long way from its first byte."""
+        pieces = data.split(b"\r\n")
+        end, at, found = len(pieces) - 1, 0, []
+        if pieces[end]:
+            return False
+        try:
+            while at < end:
+                begin, array, count = at, None, 1
+                if pieces[at][:1] == b"*":
+                    array, count, at = [], length(pieces[at][1:]), at + 1
+                    if not 0 < count <= self.most_items:
+                        return False
+                value = None
+                for _ in range(count):
+                    if pieces[at] == b"$-1":
+                        value, at = None, at + 1
+                    else:
+                        value = pieces[at + 1]
+                        if pieces[at] != b"$%d" % len(value):
+                            return False
+                        at += 2
+                    if array is not None:
+                        array.append(value)
+                found.append((value if array is None else array, pieces[begin:at]))
+        except IndexError:
+            return False
+        if at > end:
+            return False
+        for value, parts in found:
+            if not self.deaf:
+                self.received(value, parts)
+        return True
 
     def lineLengthExceeded(self, line: bytes) -> None:
         self.spoil("line too long")
@@ -83,19 +138,18 @@
         if self.deaf:
             return
         mark, rest = line[:1], line[1:]
-        self.parts.append(line + b"\r\n")
+        self.parts.append(line)
         self.size += len(line) + 2
         if self.size > self.most_whole:
             self.spoil("value too long")
-        elif mark == b"$" and rest.isdigit():
-            self.need = int(rest) + 2
+        elif mark == b"$" and (size := length(rest)) >= 0:
+            self.need = size + 2
             self.size += self.need
             if self.need - 2 > self.most_value or self.size > self.most_whole:
                 self.spoil("value too long")
             else:
                 self.setRawMode()
-        elif mark == b"*" and rest.isdigit():
-            count = int(rest)
+        elif mark == b"*" and (count := length(rest)) >= 0:
             if count > self.most_items or len(self.open) >= self.most_depth:
                 self.spoil("array too long")
             elif count:
@@ -128,9 +182,10 @@
         if not text.endswith(b"\r\n"):
             self.spoil("bulk string not ended")
             return
+        text = text[:-2]
         self.parts.append(text)
         self.line_mode = 1
-        self.put(text[:-2])
+        self.put(text)
         if rest and not self.deaf:
             self.setLineMode(rest)
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -129,7 +129,14 @@
 
 
 def test_what_is_malformed_is_answered_once_and_closed():
-    for data in (b"GET / HTTP/1.1\r\n", b"*1\r\n$70000\r\n", b"*1\r\n$2\r\nabcd", b"*999\r\n", b"$-1\r\n"):
+    for data in (
+        b"GET / HTTP/1.1\r\n",
+        b"*1\r\n$70000\r\n",
+        b"*1\r\n$2\r\nabcd",
+        b"*999\r\n",
+        b"$-1\r\n",
+        b"*+1\r\n",
+    ):
         wired, _, client = begun()
         client.link.dataReceived(data)
         client.link.dataReceived(data)
