--- a/granitedock/ring.py
+++ b/granitedock/ring.py
@@ -19,25 +19,34 @@
         self.step = span_ms / buckets
         self.stamps = [-1] * buckets
         self.cells = [(0.0, 0.0)] * buckets
-        self.summed_at, self.summed = -1, (0, 0)  # the sums as last asked for, until something is added
+        self.newest, self.first, self.second = -1, 0, 0  # the sums as of the newest bucket
 
     def add(self, now: float, first: float, second: float) -> None:
         stamp = int(now // self.step)
+        if stamp != self.newest:
+            self.turn(stamp)
         at = stamp % len(self.cells)
         old = self.cells[at] if self.stamps[at] == stamp else (0.0, 0.0)
         self.stamps[at] = stamp
         self.cells[at] = (old[0] + first, old[1] + second)
-        self.summed_at = -1
+        self.first += first
+        self.second += second
+
+    def turn(self, stamp: int) -> None:
+        """A new bucket is reached: what is too old drops out, and the sums are made anew."""
+        oldest = stamp - len(self.cells)
+        live = [cell for at, cell in zip(self.stamps, self.cells) if at > oldest]
+        self.newest, self.first, self.second = stamp, sum(c[0] for c in live), sum(c[1] for c in live)
 
     def sums(self, now: float) -> tuple[float, float]:
-        newest = int(now // self.step)
-        if newest != self.summed_at:
-            oldest = newest - len(self.cells)
-            live = [cell for stamp, cell in zip(self.stamps, self.cells) if stamp > oldest]
-            self.summed_at, self.summed = newest, (sum(c[0] for c in live), sum(c[1] for c in live))
-        return self.summed
+        stamp = int(now // self.step)
+        if stamp != self.newest:
+            self.turn(stamp)
+        return self.first, self.second
 
     def mean(self, now: float, weight: float, guess: float) -> float:
         """First by second, begun with a guess that counts as so many."""
-        first, second = self.sums(now)
-        return (first + guess * weight) / (second + weight)
+        stamp = int(now // self.step)
+        if stamp != self.newest:
+            self.turn(stamp)
+        return (self.first + guess * weight) / (self.second + weight)
