--- a/granitedock/service/limits.py
+++ b/granitedock/service/limits.py
@@ -87,5 +87,5 @@
             ready_ms=1000.0,
             open_ms=500.0,
             leave_ms=min(longest, 3000.0) + 550.0,
-            sweep_ms=250.0,
+            sweep_ms=500.0,
         )
