--- a/granitedock/benchlink/pipe.py
+++ b/granitedock/benchlink/pipe.py
@@ -14,7 +14,6 @@
 import orjson
 
 from granitedock import birth
-from granitedock.policy.decisions import Gateway
 from granitedock.policy.interface import (
     Call,
     Customer,
@@ -70,15 +69,7 @@
         self.calls: dict[int, deque[Call]] = {}
         self.wakes: dict[int, object] = {}
         self.last_wake = 0
-        self.gateway = Gateway(
-            self,
-            now,
-            birth.seat(seed, born),
-            list(self.products.values()),
-            birth.leave(born),
-            birth.cold(born),
-            birth.has_counter(born),
-        )
+        self.gateway = birth.gateway(self, now, seed, born, list(self.products.values()))
 
     # The door: effects become commands.
 
--- a/granitedock/birth.py
+++ b/granitedock/birth.py
@@ -1,10 +1,11 @@
-"""Decoding of the first message: what an instance is born with, in our words."""
+"""What a gateway is born with, decoded into our words, for the simulator's adapter and for the service."""
 
 from __future__ import annotations
 
 from typing import Any
 
-from granitedock.policy.interface import Cold, Group, Kind, Leave, Plan, Product, Seat
+from granitedock.policy.decisions import Gateway
+from granitedock.policy.interface import Cold, Door, Group, Kind, Leave, Plan, Product, Seat
 
 KINDS = {"safe": Kind.HARMLESS, "keyed": Kind.STAMPED, "unsafe": Kind.ONE_SHOT}
 PER_MS = 0.001
@@ -78,3 +79,8 @@
 
 def has_counter(born: dict[str, Any]) -> bool:
     return bool((born.get("Specifics") or {}).get("Counter"))
+
+
+def gateway(door: Door, now: float, seed: int, born: dict[str, Any], goods: list[Product]) -> Gateway:
+    """The decisions of one gateway."""
+    return Gateway(door, now, seat(seed, born), goods, leave(born), cold(born), has_counter(born))
--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -13,7 +13,7 @@
 from weakref import WeakValueDictionary
 
 from granitedock import birth
-from granitedock.policy.decisions import Gateway, advance
+from granitedock.policy.decisions import advance
 from granitedock.policy.interface import Call, Customer, Ending, Forward, Host, Sighting, Status, Task
 from granitedock.service.clients import Ask
 from granitedock.service.counter import PING, tally
@@ -194,15 +194,7 @@
         self.old_wires: dict[Wire, None] = {}
         self.watch = Watch(0)
         self.known = known
-        self.gateway = Gateway(
-            self,
-            now,
-            birth.seat(seed, born),
-            list(self.products.values()),
-            birth.leave(born),
-            birth.cold(born),
-            birth.has_counter(born),
-        )
+        self.gateway = birth.gateway(self, now, seed, born, list(self.products.values()))
 
     def reduce(self, now: float, name: str, *what: Any) -> list[tuple]:
         """One input, with all that follows from it here."""
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -4,6 +4,7 @@
 from pytest import raises
 
 from granitedock.service.counter import PING
+from granitedock.service.serve import Clock
 
 NOTHING_NEW = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n"
 VALUE = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
@@ -31,6 +32,20 @@
     return wired.comes_up()
 
 
+def quick(wired, lines, client, tasks=60):
+    """Hosts that answer in a millisecond, so that they may be given many at once; their lines, idle again."""
+    hosts = []
+    for _ in range(tasks):
+        wired.ask(client)
+        counted(wired, lines)
+        if wired.dials:
+            hosts.append(wired.comes_up())
+        wired.now += 1
+        next(host for host in hosts if host.took()).link.dataReceived(VALUE)
+    client.took()
+    return hosts
+
+
 def test_a_task_goes_on_as_it_came_but_for_the_time_and_its_value_comes_back_as_the_host_made_it():
     wired, lines, client = begun()
     host = forwarded(wired, lines, client, product="once", more=b",k=5c0f6e1a2b3d4c59", body=(b"\r\n*1",))
@@ -151,3 +166,169 @@
     client.link.dataReceived(PING[:6])
     wired.pass_ms(11000)
     assert client.took().startswith(b"-ERR ") and client.closed
+
+
+def test_a_connection_that_ends_before_the_last_byte_proves_that_nothing_ran():
+    wired, lines, client = begun()
+    wired.ask(client, product="once")
+    counted(wired, lines)
+    host = wired.comes_up(stuck=True)
+    host.link.connectionLost()
+    assert client.took() == b"" and wired.dials  # so a one-shot task goes on to the other host
+    host = wired.comes_up()
+    host.link.connectionLost()
+    assert client.took() == b"-ERR failed\r\n"  # and after that byte it may have run
+
+
+def test_a_refused_dial_sends_the_task_on_and_all_refused_defer_it():
+    wired, lines, client = begun()
+    wired.ask(client, product="once")
+    counted(wired, lines)
+    wired.fails()
+    wired.fails()
+    wired.fails()
+    assert client.took() == b"-BUSY\r\n"
+
+
+def test_a_host_s_busy_reaches_no_client_of_a_task_that_may_have_run():
+    wired, lines, client = begun()
+    host = forwarded(wired, lines, client, product="once")
+    host.link.dataReceived(b"-BUSY inflight=7,queue=2\r\n")
+    assert client.took() == b"" and wired.dials  # turned away unseen: another host gets it
+    host = wired.comes_up()
+    host.link.connectionLost()
+    assert client.took() == b"-ERR failed\r\n"
+
+
+def test_a_silent_host_loses_its_idle_connections_too_and_a_late_answer_goes_nowhere():
+    wired, lines, client = begun(hosts=1)
+    [first] = quick(wired, lines, client)
+    wired.ask(client)
+    counted(wired, lines)
+    second = forwarded(wired, lines, wired.client())
+    second.link.dataReceived(VALUE)
+    wired.pass_ms(3000)
+    assert first.closed == second.closed == "aborted" and client.took() == b"-BUSY\r\n"
+    first.link.dataReceived(VALUE)
+    first.link.connectionLost()
+    assert client.took() == b"" and not wired.reducer.lanes and wired.reducer.host_links == 0
+
+
+def test_idle_connections_are_closed_before_the_host_closes_them():
+    wired, lines, client = begun()
+    host = forwarded(wired, lines, client)
+    host.link.dataReceived(VALUE)
+    wired.pass_ms(4000)
+    assert not host.closed
+    wired.pass_ms(2000)
+    assert host.closed == "aborted"
+
+
+def test_a_host_that_drains_or_restarts_loses_its_idle_connections():
+    for change in ({"lifecycle": "terminating"}, {"startedAtMs": 99000.0}):
+        wired, lines, client = begun(hosts=1)
+        host = forwarded(wired, lines, client)
+        host.link.dataReceived(VALUE)
+        wired.tell("listed", wired.reducer.watch, wired.listing(2, 1, whole=False, **change))
+        assert host.closed == "aborted" and wired.reducer.watch.version == 2
+
+
+def test_an_answer_too_long_or_out_of_form_ends_its_forward_as_one_that_may_have_run():
+    for data in (b"*1\r\n$99999\r\n", b"?\r\n", b"*2\r\n$-1\r\n$-1\r\n"):
+        wired, lines, client = begun()
+        host = forwarded(wired, lines, client, product="once")
+        host.link.dataReceived(data)
+        assert client.took() == b"-ERR failed\r\n", data
+
+
+def test_a_silent_counter_is_replaced_and_its_late_totals_still_count():
+    wired, lines, client = begun()
+    wired.ask(client)
+    old = next(line for line in lines if line.written)
+    wired.pass_ms(2000)
+    assert not old.closed and any(event == "counter silent" for event, _ in wired.lines)
+    book = wired.reducer.gateway.books and next(iter(wired.reducer.gateway.books)).book
+    old.link.dataReceived(b"$2\r\n17\r\n")
+    assert book.current == 17 and old.closed == "aborted"
+
+
+def test_an_idle_counter_line_is_kept_in_use_and_a_dead_one_dialled_again():
+    wired, lines, _ = begun()
+    wired.pass_ms(4000)
+    assert all(line.took() == PING for line in lines)
+    lines[0].link.connectionLost()
+    wired.dials.clear()
+    wired.pass_ms(600)
+    assert len(wired.dials) == 1
+
+
+def test_a_watch_without_its_line_opens_again_from_where_it_was():
+    wired, _, _ = begun()
+    wired.pass_ms(4000)
+    assert wired.watch.closed == "aborted"
+    assert b"after=1 " in wired.comes_up().took()
+    wired.watch.link.connectionLost()  # the old one's end says nothing of the new
+    assert wired.reducer.watch.state == "open"
+
+
+def test_a_list_that_makes_no_sense_changes_nothing():
+    for line in (b"[]\n", b'{"generation":2}x\n', b'{"generation":2,"instances":[{"instanceId":"a"}]}\n'):
+        wired, lines, client = begun()
+        wired.watch.link.dataReceived(b"%x\r\n%b\r\n" % (len(line), line))
+        assert wired.watch.closed == "aborted" and len(wired.reducer.gateway.fleet.ready) == 2
+        forwarded(wired, lines, client)
+
+
+def test_a_client_that_reads_nothing_is_cut_off_and_one_that_left_costs_no_further_forward():
+    wired, lines, client = begun()
+    hosts = quick(wired, lines, client)
+    for _ in range(5):
+        wired.ask(client)
+        counted(wired, lines)
+        hosts += [wired.comes_up()] if wired.dials else []
+    client.link.pauseProducing()
+    for host in hosts:
+        host.link.dataReceived(b"*1\r\n$60000\r\n" + 60000 * b"x" + b"\r\n")
+    assert client.closed == "aborted" and wired.reducer.held == 0
+    gone = wired.client()
+    wired.ask(gone)
+    counted(wired, lines)
+    gone.link.connectionLost()
+    next(host for host in hosts if b"API" in host.took()[-200:]).link.connectionLost()
+    assert not wired.dials and not wired.reducer.errands and wired.reducer.held == 0
+
+
+def test_more_than_the_memory_holds_is_deferred_and_more_than_the_sockets_hold_makes_room():
+    wired, lines, client = begun(memory_mb=1)
+    for _ in range(5):
+        wired.ask(client, product="once", body=(60000 * b"x",))
+    assert client.took() == b""  # it waits behind the first ones
+    assert wired.counts["deferred"] == 1
+    wired, lines, client = begun(sockets=20)
+    clients = [wired.client() for _ in range(8)]
+    assert client.closed == "closed" and not clients[-1].closed
+    wired, lines, client = begun(sockets=20)
+    quick(wired, lines, client)
+    for _ in range(9):
+        wired.ask(client)
+        counted(wired, lines)
+    assert wired.counts["forward_moot"] and len(wired.dials) <= 8
+    assert all(host.health.state == "trusted" for host in wired.reducer.gateway.fleet.ready)
+
+
+def test_no_end_of_commands_behind_a_slow_one_ends_the_connection():
+    wired, lines, client = begun()
+    wired.ask(client)
+    client.link.dataReceived(2000 * PING)
+    assert wired.counts["malformed"] == 1 and len(client.link.record.queue) < 1100
+
+
+def test_the_clock_never_steps_back_and_never_stands_still():
+    unix, beat = [100.0], [5.0]
+    clock = Clock(lambda: unix[0], lambda: beat[0])
+    unix[0], beat[0] = 90.0, 6.0
+    assert clock() == 100500.0
+    unix[0], beat[0] = 91.0, 7.0
+    assert clock() == 101000.0
+    unix[0] = 102.0
+    assert clock() == 102000.0
