Descriptors are shared out with the process's own; only rested clients make room

Checked: the shares of clients, hosts and counter left nothing for the reactor's own, and a dial given up was no longer counted though still open. Ruled out: a full close tearing down what was written (closing our side only changed nothing; kept, as it lets -ERR arrive). At fault: Reducer.client_up and part.

--- a/granitedock/service/clients.py
+++ b/granitedock/service/clients.py
@@ -127,10 +127,12 @@
     # What the reducer asks for.
 
     def close(self) -> None:
-        """Once all is written."""
+        """Once all is written, and from our side only: a command that crosses it then meets an end that says
+        it was not read, where a full close would tear down what was written before."""
         self.deaf = True
         self.transport.unregisterProducer()
-        self.transport.loseConnection()
+        self.transport.resumeProducing()
+        self.transport.loseWriteConnection()
 
     def abort(self) -> None:
         self.deaf = True
--- a/granitedock/service/limits.py
+++ b/granitedock/service/limits.py
@@ -29,6 +29,7 @@
     queue: int  # commands of one client's connection that wait for answers
     client_links: int  # beyond this one that waits for nothing is closed
     client_most: int  # beyond this none is taken in
+    client_over: int  # and beyond this one that slipped in is closed at once
     host_links: int
     counter_links: int  # in use at once
     counter_old: int  # silent ones that are kept for late totals
@@ -43,6 +44,8 @@
     watch_silence_ms: float
     redial_ms: float
     half_ms: float  # a command begun and not ended
+    rest_ms: float  # a client's connection without a command for so long may be closed to make room
+    close_ms: float  # we have closed our side of a connection, the client not its own
     margin_ms: float  # answers leave so long before the client's time is up
     ready_ms: float  # the longest wait for a first list at start
     open_ms: float  # after SIGTERM new connections are taken for so long
@@ -55,6 +58,9 @@
         own, born = told.get("limits") or {}, told["settings"]
         memory = float(own.get("memory_mb") or 192) * MIB
         sockets = int(own.get("sockets") or 1024)
+        counter = min(4, max(1, sockets // 32))
+        # Beside the links: standard streams, the reactor's own, the listener, the watch, and some to spare.
+        links = max(8, sockets - 2 * counter - 20)
         allowed = born.get("Allowed") or {}
         longest = max((float(lane["GiveUpMs"]) for lane in born["Lanes"]), default=3000.0)
         return cls(
@@ -68,11 +74,12 @@
             depth=4,
             tasks=min(int(allowed.get("MostHeld") or 20000), int(memory / (32 * KIB))),
             queue=64,
-            client_links=max(8, int(sockets * 0.4)),
-            client_most=max(12, int(sockets * 0.5)),
-            host_links=max(8, int(sockets * 0.4)),
-            counter_links=4,
-            counter_old=8,
+            client_links=int(links * 0.4),
+            client_most=int(links * 0.45),
+            client_over=int(links * 0.55),
+            host_links=int(links * 0.45),
+            counter_links=counter,
+            counter_old=counter,
             backlog=512,
             log_lines=50,
             connect_ms=float(allowed.get("ConnectTimeoutMs") or 250.0),
@@ -83,6 +90,8 @@
             watch_silence_ms=3000.0,
             redial_ms=100.0,
             half_ms=10000.0,
+            rest_ms=1000.0,
+            close_ms=1000.0,
             margin_ms=8.0,
             ready_ms=1000.0,
             open_ms=500.0,
--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -105,6 +105,8 @@
     choked: bool = False
     unread: int = 0
     half_since: float = 0.0
+    rested_at: float = 0.0  # when it came, or last got an answer
+    closing_since: float = 0.0
     state: str = "up"
 
 
@@ -185,7 +187,7 @@
         self.callers: dict[Caller, None] = {}
         self.errands: dict[Errand, None] = {}
         self.pings: list[tuple[Caller, Reply]] = []
-        self.held = 0
+        self.held, self.full = 0, False
         self.places: dict[str, Place] = {}
         self.lanes: dict[Forward, Lane] = {}
         self.wakes: dict[object, Wake] = {}
@@ -263,23 +265,32 @@
     # Clients.
 
     def client_up(self, link: Any) -> None:
-        caller = link.record = Caller(link)
+        caller = link.record = Caller(link, rested_at=self.now)
         self.callers[caller] = None
         self.counts["client_links"] += 1
-        if len(self.callers) > self.limits.client_links:
-            # Guards against running out of descriptors: one that waits for nothing makes room, and where
-            # all wait for answers, no more are taken in until one ends.
-            idle = (other for other in self.callers if not other.queue and other.state == "up")
-            oldest = next(idle, caller)
-            if oldest is not caller:
-                self.hang_up(oldest)
-            elif len(self.callers) > self.limits.client_most:
-                self.do(self.doors.take_in, False)
+        if len(self.callers) >= self.limits.client_links:
+            self.make_room()
+        if len(self.callers) > self.limits.client_over:
+            self.counts["client_links_over"] += 1
+            self.do(link.abort)
+        elif len(self.callers) >= self.limits.client_most and not self.full:
+            self.full = True
+            self.do(self.doors.take_in, False)
+
+    def make_room(self) -> None:
+        """Guards against running out of descriptors: the client's connection that has rested longest ends.
+        One that came or got an answer just now is left alone, as a command may be on its way; where there
+        are only such, no more are taken in for a while."""
+        rested = self.now - self.limits.rest_ms
+        idle = [c for c in self.callers if c.state == "up" and not c.queue and c.rested_at < rested]
+        if idle:
+            self.hang_up(min(idle, key=lambda caller: caller.rested_at))
 
     def client_down(self, caller: Caller) -> None:
         caller.state = "gone"
         self.callers.pop(caller, None)
-        if len(self.callers) == self.limits.client_most:
+        if self.full and len(self.callers) < self.limits.client_most:
+            self.full = False
             self.do(self.doors.take_in, True)
         for waiting in caller.queue:
             if isinstance(waiting, Errand) and waiting.answer is None:
@@ -294,7 +305,7 @@
             self.inbox.append((self.mode, "idle"))
 
     def hang_up(self, caller: Caller) -> None:
-        caller.state = "closing"
+        caller.state, caller.closing_since = "closing", self.now
         self.do(caller.link.close)
 
     def command(self, caller: Caller, name: bytes) -> None:
@@ -391,6 +402,7 @@
             ready.append(queue.popleft().answer)
         data = b"".join(ready)
         self.held -= len(data)
+        caller.rested_at = self.now
         self.do(caller.link.send, data)
         if caller.choked:
             caller.unread += len(data)
@@ -430,10 +442,10 @@
             advance(HOST_LINK, lane, "aged", self)
         else:
             lane = self.lanes[forward] = Lane(place, "dialling", forward, stop_at)
-            self.host_links += 1
-            if self.host_links > self.limits.host_links and not self.spare_link():
+            if self.host_links >= self.limits.host_links and not self.spare_link():
                 self.inbox.append((self.host, lane, "no room"))
             else:
+                self.host_links += 1
                 self.counts["host_dials"] += 1
                 self.do(self.doors.dial_host, lane, place.address)
         lane.alarm = self.wake_at(stop_at, "late", lane, forward)
@@ -483,6 +495,11 @@
     def host(self, lane: Lane, signal: str) -> None:
         advance(HOST_LINK, lane, signal, self)
 
+    def host_down(self, lane: Lane) -> None:
+        """It comes once for each dial, and only then is its descriptor free."""
+        self.host_links -= 1
+        advance(HOST_LINK, lane, "down", self)
+
     def host_up(self, lane: Lane, link: Any) -> None:
         lane.link = link
         advance(HOST_LINK, lane, "up", self)
@@ -559,7 +576,6 @@
         self.suspect(lane.place)
 
     def part(self, lane: Lane, ending: Ending) -> None:
-        self.host_links -= 1
         forward, lane.forward = lane.forward, None
         self.inbox.append((self.ended, forward, ending))
 
@@ -579,7 +595,6 @@
         self.do(record.link.abort)
 
     def forget_lane(self, lane: Lane) -> None:
-        self.host_links -= 1
         if lane in lane.place.idle:
             lane.place.idle.remove(lane)
 
@@ -735,8 +750,13 @@
         for place in self.places.values():
             while place.idle and now - place.idle[0].idle_since > limits.host_idle_ms:
                 advance(HOST_LINK, place.idle[0], "aged", self)
+        if self.full:
+            self.make_room()
         for caller in list(self.callers):
-            if not caller.link.half():
+            if caller.state == "closing":
+                if now - caller.closing_since > limits.close_ms:
+                    self.do(caller.link.abort)  # guards against clients that do not close their side
+            elif not caller.link.half():
                 caller.half_since = 0.0
             elif not caller.half_since:
                 caller.half_since = now
@@ -759,7 +779,7 @@
     "command": Reducer.command,
     "malformed": Reducer.malformed,
     "host up": Reducer.host_up,
-    "host down": lambda self, lane: self.host(lane, "down"),
+    "host down": Reducer.host_down,
     "host answered": Reducer.host_answered,
     "host malformed": Reducer.host_malformed,
     "written": lambda self, lane: self.host(lane, "written"),
