--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -28,7 +28,7 @@
 
 MODE = {
     ("starting", "listed"): ("serving", "open_up"),
-    ("starting", "waited"): ("serving", "open_up"),
+    ("starting", "waited"): ("starting", "go_by_known"),
     ("starting", "ending"): ("draining", "stay_open"),
     ("serving", "ending"): ("draining", "stay_open"),
     ("draining", "shut"): ("closing", "shut_door"),
@@ -237,6 +237,13 @@
         if self.state != before:
             self.diary.event("mode", was=before, now=self.state, tasks=len(self.errands))
 
+    def go_by_known(self, _self) -> str | None:
+        """Guards against discovery that is down at the start: an old list serves, no list at all does not."""
+        if self.places:
+            return "listed"
+        self.wake_at(self.now + self.limits.ready_ms, "mode", "waited")
+        return None
+
     def open_up(self, _self) -> None:
         for caller, reply in self.pings:
             self.fill(caller, reply, PONG)
@@ -369,9 +376,10 @@
             or self.held > self.limits.held
             or len(caller.queue) > self.limits.queue
         ):
-            # Guards the memory: it was never forwarded, so trying again is harmless.
+            # Guards the memory: the decisions give it up, as one that was never forwarded.
+            self.gateway.book(errand).turn(self.now)
             errand.state = "over"
-            self.defer(errand, None)
+            self.gateway.give_up(errand)
             return
         # Guards against whatever leaves a task with nothing that will bring it back, as a fault in a decision
         # does: an error promises nothing, and comes in time.
--- a/granitedock/service/serve.py
+++ b/granitedock/service/serve.py
@@ -117,7 +117,8 @@
         self.watch.dial(watch, self.told["discovery"])
 
     def take_in(self, on: bool) -> None:
-        (self.port.startReading if on else self.port.stopReading)()
+        if self.port.connected:
+            (self.port.startReading if on else self.port.stopReading)()
 
     def shut(self) -> None:
         self.port.stopListening()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -131,6 +131,11 @@
     client.link.dataReceived(PING)
     silent.pass_ms(1000)  # discovery is down: the list as last had serves
     assert client.took() == b"+PONG\r\n"
+    empty = Wired(hosts=0)
+    client = empty.client()
+    client.link.dataReceived(PING)
+    empty.pass_ms(3000)
+    assert client.took() == b""
 
 
 def test_answers_leave_in_the_order_of_the_commands():
