--- a/granitedock/service/serve.py
+++ b/granitedock/service/serve.py
@@ -96,8 +96,9 @@
 class Doors:
     """What the reducer asks for beyond a connection that is up: dials, wakes, and the end."""
 
-    def __init__(self, reactor, tell, wakes: Wakes, told: dict[str, Any], limits: Limits) -> None:
-        self.reactor, self.told, self.wake = reactor, told, wakes.add
+    def __init__(self, reactor, tell, wakes: Wakes, counter: str, discovery: str, limits: Limits) -> None:
+        self.reactor, self.wake = reactor, wakes.add
+        self.counter_at, self.discovery_at = counter, discovery
         self.port: Any = None
 
         def party(make, down):
@@ -105,16 +106,16 @@
 
         self.hosts = party(lambda: HostLink(tell, limits), "host down")
         self.counter = party(lambda: CounterLink(tell, limits), "counter down")
-        self.watch = party(lambda: WatchLink(tell, told["discovery"], limits), "watch down")
+        self.watch = party(lambda: WatchLink(tell, discovery, limits), "watch down")
 
     def dial_host(self, lane: Any, address: str) -> None:
         self.hosts.dial(lane, address)
 
     def dial_counter(self, wire: Any) -> None:
-        self.counter.dial(wire, self.told["counter"])
+        self.counter.dial(wire, self.counter_at)
 
     def dial_watch(self, watch: Any) -> None:
-        self.watch.dial(watch, self.told["discovery"])
+        self.watch.dial(watch, self.discovery_at)
 
     def take_in(self, on: bool) -> None:
         if self.port.connected:
@@ -136,7 +137,8 @@
         self.reactor, self.clock = reactor, reactor.wakes.clock
         self.log = Log(told["name"], self.clock, limits.log_lines)
         reactor.wakes.tell = self.tell
-        self.doors = Doors(reactor, self.tell, reactor.wakes, told, limits)
+        counter, discovery = told.get("counter") or "", told["discovery"]
+        self.doors = Doors(reactor, self.tell, reactor.wakes, counter, discovery, limits)
         known = listing(told["known"]) if told.get("known") else None
         seed = int(told["seed"], 16)
         born = told["settings"]
