--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -132,6 +132,7 @@
 
     def write(self, data):
         self.written += data
+        self.written_at = self.link.tell.__self__.now
 
     def registerProducer(self, producer, streaming):
         if not streaming:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1,9 +1,13 @@
 """Stories of the gateway on sockets: real links on lines that lead nowhere, one for each failure met."""
 
+from collections import Counter
+from random import Random
+
 from fakehost import Wired
 from pytest import raises
 
 from granitedock.service.counter import PING
+from granitedock.service.hosts import HostLink
 from granitedock.service.serve import Clock
 
 NOTHING_NEW = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n"
@@ -348,3 +352,47 @@
     assert clock() == 101000.0
     unix[0] = 102.0
     assert clock() == 102000.0
+
+
+def test_whatever_comes_in_whatever_order_each_task_gets_one_answer_in_time():
+    for seed in range(40):
+        chance = Random(seed)
+        wired, lines, _ = begun(hosts=3)
+        asked, answered, hosts = {}, [], []
+        for step in range(300):
+            wired.pass_ms(chance.choice((0, 0, 1, 5, 20, 200, 1500)) if step < 299 else 5000)
+            open_hosts = [line for line in hosts if not line.closed]
+            what = chance.randrange(9) if step < 299 else 8
+            if what < 3 and len(asked) < 10:
+                line = wired.client()
+                asked[line] = wired.now + 3000
+                wired.ask(line, product=chance.choice(("read", "once")))
+            elif what == 3 and wired.dials:
+                chance.choice((wired.fails, wired.comes_up))(chance.randrange(len(wired.dials)))
+            elif what == 4 and open_hosts:
+                line = chance.choice(open_hosts)
+                line.closed = "lost"
+                line.link.connectionLost()
+            elif what == 5 and open_hosts:
+                said = chance.choice((VALUE, VALUE, b"-BUSY\r\n", b"-ERR failed\r\n", b"?\r\n", VALUE[:9]))
+                chance.choice(open_hosts).link.dataReceived(said)
+            elif what == 6:
+                state = chance.choice(("in_service", "terminating", "terminated"))
+                listing = wired.listing(3, chance.randrange(4), state, chance.random() < 0.3)
+                wired.tell("listed", wired.reducer.watch, listing)
+            elif what == 7:
+                chance.choice(lines).link.dataReceived(chance.choice((b"$1\r\n3\r\n", b"-BUSY\r\n")))
+            while wired.dials and chance.random() < 0.8:
+                line = wired.comes_up()
+                if isinstance(line.link, HostLink):
+                    hosts.append(line)
+            out = Counter(forward.task for forward in wired.reducer.lanes)
+            assert not out or max(out.values()) == 1  # never two out
+            for line in [line for line in asked if line.written]:
+                assert line.written_at <= asked.pop(line)
+                line.link.connectionLost()
+                answered.append((line, line.written))
+                assert line.written in (VALUE, b"-BUSY\r\n", b"-ERR failed\r\n")
+        assert not asked and all(line.written == said for line, said in answered)  # nothing after the answer
+        assert not wired.reducer.errands and not wired.reducer.lanes and not wired.counts["forgotten"]
+        assert wired.reducer.held == 0
