--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -64,19 +64,25 @@
 COUNTER_LINK = {
     ("dialling", "up"): ("up", "flush"),
     ("dialling", "down"): ("gone", "never_added"),
+    ("dialling", "moved"): ("gone", "dial_there"),
     ("up", "silent"): ("old", "replace"),
+    ("up", "moved"): ("old", "replace"),
     ("up", "down"): ("gone", "unknown"),
-    ("old", "emptied"): ("gone", "abort"),
+    ("old", "emptied"): ("gone", "close_old"),
     ("old", "lingered"): ("gone", "unknown_abort"),
     ("old", "down"): ("gone", "unknown"),
+    ("gone", "up"): ("gone", "abort"),
 }
 
 WATCH = {
     ("closed", "due"): ("dialling", "dial_watch"),
     ("dialling", "up"): ("open", None),
     ("dialling", "down"): ("closed", "watch_later"),
+    ("dialling", "moved"): ("left", "watch_there"),
     ("open", "down"): ("closed", "watch_later"),
-    ("open", "silent"): ("closed", "watch_anew"),
+    ("open", "silent"): ("left", "watch_anew"),
+    ("open", "moved"): ("left", "watch_anew"),
+    ("left", "up"): ("left", "abort"),  # its dial was under way when another took its place
 }
 
 
@@ -654,6 +660,10 @@
     def unknown(self, wire: Wire) -> None:
         self.lost(wire, Ending.TIMEOUT)
 
+    def close_old(self, wire: Wire) -> None:
+        self.old_wires.pop(wire, None)
+        self.do(wire.link.abort)
+
     def unknown_abort(self, wire: Wire) -> None:
         self.do(wire.link.abort)
         self.lost(wire, Ending.TIMEOUT)
@@ -671,14 +681,23 @@
             self.wake_at(self.now + 5 * self.limits.redial_ms, "counter due", wire.number)
 
     def replace(self, wire: Wire) -> None:
-        """Guards against a connection that has gone silent, by death or by a long queue: calls go on over a
-        new one, and the old one is kept for late totals. Hurts a slow counter by some connections."""
-        self.diary.event("counter silent", waiting=len(wire.waiting), heard_ms_ago=self.now - wire.heard_at)
+        """Guards against a connection that has gone silent, by death or by a long queue, and against a
+        counter that moves: calls go on over a new one, and the old one is kept for late totals. Hurts a slow
+        counter by some connections."""
+        self.diary.event("counter replaced", waiting=len(wire.waiting), heard_ms_ago=self.now - wire.heard_at)
         wire.old_since, self.old_wires[wire] = self.now, None
         self.wires[wire.number] = None
         self.wire(wire.number)
         if len(self.old_wires) > self.limits.counter_old:
             advance(COUNTER_LINK, next(iter(self.old_wires)), "lingered", self)
+        if not wire.waiting:
+            advance(COUNTER_LINK, wire, "emptied", self)
+
+    def dial_there(self, wire: Wire) -> None:
+        """Nothing of its calls was written, so they go where the new one leads."""
+        self.wires[wire.number] = None
+        self.wire(wire.number).waiting = wire.waiting
+        wire.waiting = deque()
 
     # Discovery.
 
@@ -687,8 +706,7 @@
         self.do(self.doors.dial_watch, watch)
 
     def watch_signal(self, watch: Watch, signal: str) -> None:
-        if watch is self.watch:
-            advance(WATCH, watch, signal, self)
+        advance(WATCH, watch, signal, self)
 
     def watch_up(self, watch: Watch, link: Any) -> None:
         watch.link, watch.heard_at = link, self.now
@@ -703,8 +721,11 @@
 
     def watch_anew(self, watch: Watch) -> None:
         """Guards against a watch that is open and dead: without its line in time it opens again."""
-        self.diary.event("watch silent", heard_ms_ago=self.now - watch.heard_at, version=watch.version)
+        self.diary.event("watch anew", heard_ms_ago=self.now - watch.heard_at, version=watch.version)
         self.do(watch.link.abort)
+        self.watch_there(watch)
+
+    def watch_there(self, watch: Watch) -> None:
         self.watch = Watch(watch.version)
         advance(WATCH, self.watch, "due", self)
 
@@ -737,6 +758,17 @@
             if place.idle and place.status is not Status.READY:
                 self.suspect(place)
 
+    # A new file.
+
+    def moved(self, counter: bool, discovery: bool) -> None:
+        """The file names other addresses. What is open to one that stays is kept; the counter's old
+        connections are kept as long as they last, for the totals they still owe."""
+        for wire in self.wires if counter else ():
+            if wire is not None:
+                advance(COUNTER_LINK, wire, "moved", self)
+        if discovery:
+            advance(WATCH, self.watch, "moved", self)
+
     # Now and then.
 
     def sweep(self) -> None:
@@ -800,4 +832,5 @@
     "watch down": lambda self, watch: self.watch_signal(watch, "down"),
     "watch due": Reducer.watch_due,
     "listed": Reducer.listed,
+    "moved": Reducer.moved,
 }
--- a/granitedock/service/serve.py
+++ b/granitedock/service/serve.py
@@ -106,7 +106,13 @@
 
         self.hosts = party(lambda: HostLink(tell, limits), "host down")
         self.counter = party(lambda: CounterLink(tell, limits), "counter down")
-        self.watch = party(lambda: WatchLink(tell, discovery, limits), "watch down")
+        self.watch = party(lambda: WatchLink(tell, self.discovery_at, limits), "watch down")
+
+    def move(self, counter: str, discovery: str) -> tuple[bool, bool]:
+        """Whether the counter and discovery are elsewhere now."""
+        before = self.counter_at, self.discovery_at
+        self.counter_at, self.discovery_at = counter, discovery
+        return counter != before[0], discovery != before[1]
 
     def dial_host(self, lane: Any, address: str) -> None:
         self.hosts.dial(lane, address)
@@ -129,16 +135,31 @@
         self.reactor.callLater(0.05, self.reactor.stop)
 
 
+def parties(told: dict[str, Any]) -> tuple[str, str]:
+    """Where the counter and discovery are. Guards against a file that names none: it changes nothing.
+
+    >>> parties({"discovery": "10.2.0.1:8500", "counter": "10.2.0.2:6400"})
+    ('10.2.0.2:6400', '10.2.0.1:8500')
+    """
+    counter, discovery = told.get("counter") or "", told["discovery"]
+    for address in (counter, discovery) if counter else (discovery,):
+        host, _, port = address.rpartition(":")
+        if not host or not 0 < int(port) < 65536:
+            raise ValueError(f"no address: {address!r}")
+    return counter, discovery
+
+
 class Service:
     """One gateway process."""
 
-    def __init__(self, told: dict[str, Any], reactor: SteadyReactor) -> None:
+    def __init__(self, path: str, reactor: SteadyReactor) -> None:
+        self.path = path
+        told = orjson.loads(Path(path).read_bytes())
         self.limits = limits = Limits.told(told)
         self.reactor, self.clock = reactor, reactor.wakes.clock
         self.log = Log(told["name"], self.clock, limits.log_lines)
         reactor.wakes.tell = self.tell
-        counter, discovery = told.get("counter") or "", told["discovery"]
-        self.doors = Doors(reactor, self.tell, reactor.wakes, counter, discovery, limits)
+        self.doors = Doors(reactor, self.tell, reactor.wakes, *parties(told), limits)
         known = listing(told["known"]) if told.get("known") else None
         seed = int(told["seed"], 16)
         born = told["settings"]
@@ -194,21 +215,33 @@
     def stop_soon(self) -> None:
         self.tell("mode", "ending")
 
+    def read_anew(self) -> None:
+        """Guards against a file that is half written, gone or no longer JSON: then all stays as it was."""
+        try:
+            there = parties(orjson.loads(Path(self.path).read_bytes()))
+        except (OSError, ValueError, KeyError, TypeError, AttributeError) as fault:
+            self.log.event("file unreadable", why=f"{type(fault).__name__}: {fault}")
+            return
+        self.log.event("file read", counter=there[0], discovery=there[1])
+        self.tell("moved", *self.doors.move(*there))
+
     def signals(self) -> None:
         def on(number: int, act: Any) -> None:
             signal.signal(number, lambda *_: self.reactor.callFromThread(act))
 
         on(signal.SIGTERM, self.stop_soon)
         on(signal.SIGINT, self.stop_soon)
+        on(signal.SIGHUP, self.read_anew)
         on(signal.SIGUSR1, lambda: self.log.counters("counters"))
 
 
 def serve(path: str) -> int:
     """Serve as the file says, until told to stop."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it can be heard: by default it would end the process
     reactor = SteadyReactor(Wakes(Clock()))
     installReactor(reactor)
     try:
-        service = Service(orjson.loads(Path(path).read_bytes()), reactor)
+        service = Service(path, reactor)
         service.start()
     except (OSError, ValueError, KeyError, TypeError, AttributeError, CannotListenError) as fault:
         print(f"granitedock: cannot start by {path}: {type(fault).__name__}: {fault}", file=sys.stderr)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -47,7 +47,7 @@
     return command(b"API.WRITE", b"00000000000000a1", b"0123456789abcdef", text, body)
 
 
-def test_the_process_serves_and_a_sigterm_answers_what_it_took_and_exits_with_0(tmp_path):
+def test_the_process_serves_moves_on_sighup_and_a_sigterm_answers_what_it_took_and_exits_with_0(tmp_path):
     entry = {"instanceId": "h", "hostPort": stand_in(host), "lifecycle": "in_service"}
     listing = json.dumps({"generation": 2, "reset": True, "instances": [entry]}).encode() + b"\n"
     chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n" % (len(listing), listing)
@@ -77,6 +77,16 @@
         assert said.readline() == b"+PONG\r\n" and said.read(len(VALUE)) == VALUE
         counters = subprocess.run([*run, "counters", told["listen"]], capture_output=True, timeout=10)
         assert b"done:1" in counters.stdout.split() and counters.returncode == 0
+        calls = []
+        elsewhere = stand_in(lambda words: calls.append(words) or bulk(b"1"))
+        for text in ("{", json.dumps(told | {"counter": elsewhere})):
+            assert not calls  # a file that can't be read changes nothing
+            path.write_text(text)
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.2)
+            client.sendall(task(b"fast"))
+            assert said.read(len(VALUE)) == VALUE
+        assert [words[0] for words in calls] == [b"TALLY"]
         client.sendall(task(b"slow"))
         time.sleep(0.2)
         process.send_signal(signal.SIGTERM)
@@ -84,7 +94,7 @@
         _, lines = process.communicate(timeout=10)
         events = [json.loads(line) for line in lines.splitlines()]
         assert process.returncode == 0
-        assert events[-1]["event"] == "counters at exit" and events[-1]["done"] == 2
+        assert events[-1]["event"] == "counters at exit" and events[-1]["done"] == 4
     finally:
         process.kill()
         process.wait()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -258,12 +258,31 @@
     wired.ask(client)
     old = next(line for line in lines if line.written)
     wired.pass_ms(2000)
-    assert not old.closed and any(event == "counter silent" for event, _ in wired.lines)
+    assert not old.closed and any(event == "counter replaced" for event, _ in wired.lines)
     book = wired.reducer.gateway.books and next(iter(wired.reducer.gateway.books)).book
     old.link.dataReceived(b"$2\r\n17\r\n")
     assert book.current == 17 and old.closed == "aborted"
 
 
+def test_a_file_that_names_other_addresses_moves_the_counter_and_the_watch():
+    wired, lines, client = begun()
+    wired.ask(client)
+    old = next(line for line in lines if line.written)
+    wired.tell("moved", True, True)
+    assert wired.watch.closed == "aborted" and not old.closed
+    assert all(line.closed == "aborted" for line in lines if line is not old)
+    wired.tell("moved", True, True)  # once more, before anything has come up
+    moved = [wired.comes_up(0) for _ in range(len(wired.dials))]
+    assert sum(not line.closed for line in moved) == 1 + len(lines)
+    old.link.dataReceived(b"$2\r\n17\r\n")  # what was added there still counts
+    assert next(iter(wired.reducer.gateway.books)).book.current == 17 and old.closed == "aborted"
+    assert not wired.reducer.old_wires
+    wired.comes_up().link.dataReceived(VALUE)
+    assert client.took() == VALUE
+    wired.ask(client)
+    assert any(b"TALLY" in line.written for line in moved if not line.closed)
+
+
 def test_an_idle_counter_line_is_kept_in_use_and_a_dead_one_dialled_again():
     wired, lines, _ = begun()
     wired.pass_ms(4000)
