--- a/granitedock/service/clients.py
+++ b/granitedock/service/clients.py
@@ -6,16 +6,21 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import Any
 
 from twisted.internet.protocol import Factory
 
 from granitedock.service.limits import Limits
-from granitedock.service.resp import RespReceiver, bulk, whole
+from granitedock.service.resp import RespReceiver, bulk, unread, whole
 
-HEX = b"0123456789abcdefABCDEF"
 TASKS = (b"API.READ", b"API.WRITE")
+CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}").fullmatch
+CUSTOMERS = 2**33
+ID = re.compile(rb"[!-~]{1,64}").fullmatch
+DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?").fullmatch  # no sign, exponent or word as float takes
+WHOLE = re.compile(rb"[0-9]{1,9}").fullmatch
 
 
 class Unreadable(Exception):
@@ -26,9 +31,12 @@
 class Ask:
     """A task as a client words it, and its bytes round the time it gives."""
 
+    id: bytes
     product: str
     plan: str
     customer: int
+    harmless: bool  # by the command it came as
+    stamped: bool
     left_ms: float
     units: float
     spread: int
@@ -45,34 +53,49 @@
         return self.before + bulk(b"%b%d%b" % (self.head, max(1, int(left_ms)), self.tail)) + self.after
 
 
-def read(words: list[Any], parts: list[bytes]) -> Ask:
-    """
+def read(words: list[Any], parts: list[bytes], limits: Limits) -> Ask:
+    """Guards the decisions against figures that are none, or out of the range that the settings state: a task
+    is taken as it should be worded, and nothing is put right in it.
+
     >>> from granitedock.service.resp import command
     >>> text = b"c=r,t=p,d=480,units=2,spread=3,first=1"
     >>> words = [b"API.READ", b"00000000000000a1", b"9b1f03aa5c7e2d41", text]
-    >>> ask = read(words, command(*words).split(b"\\r\\n")[:-1])
+    >>> limits = Limits.told({"settings": {"Balancers": 4, "Lanes": []}})
+    >>> ask = read(words, command(*words).split(b"\\r\\n")[:-1], limits)
     >>> ask.product, ask.customer, ask.left_ms, ask.spread, ask.head, ask.tail
     ('r', 161, 480.0, 3, b'c=r,t=p,d=', b',units=2,spread=3,first=1')
     """
     if len(words) not in (4, 5) or not all(type(word) is bytes for word in words):
         raise Unreadable("a task has four words or five")
     text: bytes = words[3]
+    if not CUSTOMER(words[1]) or (customer := int(words[1], 16)) >= CUSTOMERS:
+        raise Unreadable("no such customer")
+    if not ID(words[2]):
+        raise Unreadable("a task has an id")
     try:
-        fields = dict(pair.split(b"=", 1) for pair in text.split(b","))
+        pairs = [pair.split(b"=", 1) for pair in text.split(b",")]
+        fields = dict(pairs)
+        if len(fields) != len(pairs):
+            raise ValueError("a name stands twice")
+        left, units, spread, first = (fields[name] for name in (b"d", b"units", b"spread", b"first"))
+        if not (DECIMAL(left) and DECIMAL(units) and WHOLE(spread) and WHOLE(first)):
+            raise ValueError("no such number")
+        if not 0.0 < float(units) <= limits.units:
+            raise ValueError("no such units")
+        if not (0 < int(spread) <= limits.gateways and int(first) < limits.gateways):
+            raise ValueError("no such set")
         at = 0 if text.startswith(b"d=") else text.index(b",d=") + 1
         end = text.find(b",", at)
-        if len(words[1]) != 16 or words[1].translate(None, HEX):
-            raise ValueError("a customer has 16 digits")
-        left_ms = float(fields[b"d"])
-        if not 0.0 <= left_ms < 1e9:
-            raise ValueError("no such time")
         return Ask(
+            words[2],
             fields[b"c"].decode(),
             fields[b"t"].decode(),
-            int(words[1], 16),
-            left_ms,
-            max(0.0, float(fields.get(b"units", 1))),
-            max(1, int(fields.get(b"spread", 1))),
+            customer,
+            words[0] == TASKS[0],
+            bool(fields.get(b"k")),
+            float(left),
+            float(units),
+            int(spread),
             whole(parts[:7]),
             text[: at + 2],
             text[end:] if end >= 0 else b"",
@@ -89,7 +112,7 @@
 
     def __init__(self, tell, limits: Limits) -> None:
         super().__init__(limits.line, limits.value, limits.whole, limits.items, 1)
-        self.tell = tell
+        self.tell, self.limits, self.dropped = tell, limits, 0
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -97,7 +120,18 @@
         self.tell("client up", self)
 
     def connectionLost(self, reason=None) -> None:
-        self.tell("client down", self.record)
+        record, self.record = self.record, None  # else each keeps the other until a search for such circles
+        self.tell("client down", record)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Guards the processor against peers that go on sending to a connection that is over: some is read
+        and dropped, so that what was written there can still be read, and then no more."""
+        if self.deaf:
+            self.dropped += len(data)
+            if self.dropped > self.limits.unread:
+                self.abort()
+            return
+        super().dataReceived(data)
 
     def received(self, value: Any, parts: list[bytes]) -> None:
         if type(value) is not list or not value or type(value[0]) is not bytes:
@@ -105,7 +139,7 @@
             return
         if value[0] in TASKS:
             try:
-                ask = read(value, parts)
+                ask = read(value, parts, self.limits)
             except Unreadable as why:
                 self.spoil(str(why))
             else:
@@ -138,6 +172,11 @@
         self.deaf = True
         self.transport.abortConnection()
 
+    def look(self) -> None:
+        """Whether it has said no whole command still, or lies unread as we have been slow."""
+        if not unread(self.transport):
+            self.tell("client silent", self.record)
+
 
 class ClientDoor(Factory):
     """Makes a link of each connection that is taken in."""
--- a/granitedock/service/limits.py
+++ b/granitedock/service/limits.py
@@ -34,7 +34,10 @@
     counter_links: int  # in use at once
     counter_old: int  # silent ones that are kept for late totals
     backlog: int
+    accepts: int  # connections taken in at a turn of the loop, so that what they say is read between
     log_lines: int  # a second
+    gateways: int  # numbered from 0 in a customer's set
+    units: float  # of one task
     # Times, in milliseconds.
     connect_ms: float
     host_idle_ms: float  # a connection to a host is closed when idle so long, before the host does
@@ -43,8 +46,10 @@
     counter_linger_ms: float  # and kept so long for late totals
     watch_silence_ms: float
     redial_ms: float
-    half_ms: float  # a command begun and not ended
-    rest_ms: float  # a client's connection without a command for so long may be closed to make room
+    half_ms: float  # a command begun and not ended, or a first one not begun
+    spoilt_ms: float  # tasks before a malformed command are waited for
+    fresh_ms: float  # a client's connection that has said nothing may be closed to make room
+    rest_ms: float  # one without a command for so long since its last answer is closed
     close_ms: float  # we have closed our side of a connection, the client not its own
     margin_ms: float  # answers leave so long before the client's time is up
     ready_ms: float  # the longest wait for a first list at start
@@ -74,14 +79,17 @@
             depth=4,
             tasks=min(int(allowed.get("MostHeld") or 20000), int(memory / (32 * KIB))),
             queue=64,
-            client_links=int(links * 0.4),
-            client_most=int(links * 0.45),
-            client_over=int(links * 0.55),
-            host_links=int(links * 0.45),
+            client_links=int(links * 0.45),
+            client_most=int(links * 0.5),
+            client_over=int(links * 0.6),
+            host_links=int(links * 0.4),
             counter_links=counter,
             counter_old=counter,
             backlog=512,
+            accepts=8,
             log_lines=50,
+            gateways=max(1, int(born.get("Balancers") or 1)),
+            units=float((born.get("Specifics") or {}).get("MaxUnits") or 1e9),
             connect_ms=float(allowed.get("ConnectTimeoutMs") or 250.0),
             host_idle_ms=float(allowed.get("ConnIdleMs") or 15000.0) / 2,
             counter_ping_ms=3000.0,
@@ -89,9 +97,11 @@
             counter_linger_ms=10000.0,
             watch_silence_ms=3000.0,
             redial_ms=100.0,
-            half_ms=10000.0,
-            rest_ms=1000.0,
-            close_ms=1000.0,
+            half_ms=1500.0,
+            spoilt_ms=1500.0,
+            fresh_ms=100.0,
+            rest_ms=2000.0,
+            close_ms=300.0,
             margin_ms=8.0,
             ready_ms=1000.0,
             open_ms=500.0,
--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -14,7 +14,7 @@
 
 from granitedock import birth
 from granitedock.policy.decisions import advance
-from granitedock.policy.interface import Call, Customer, Ending, Forward, Host, Sighting, Status, Task
+from granitedock.policy.interface import Call, Customer, Ending, Forward, Host, Kind, Sighting, Status, Task
 from granitedock.service.clients import Ask
 from granitedock.service.counter import PING, tally
 from granitedock.service.discovery import Listing
@@ -111,6 +111,8 @@
     choked: bool = False
     unread: int = 0
     half_since: float = 0.0
+    spoilt_since: float = 0.0
+    spoke: bool = False  # a task, in form
     rested_at: float = 0.0  # when it came, or last got an answer
     closing_since: float = 0.0
     state: str = "up"
@@ -192,6 +194,7 @@
         self.customers: WeakValueDictionary[int, Customer] = WeakValueDictionary()
         self.callers: dict[Caller, None] = {}
         self.errands: dict[Errand, None] = {}
+        self.ids: dict[bytes, Errand] = {}  # of the tasks that wait for their answers
         self.pings: list[tuple[Caller, Reply]] = []
         self.held, self.full = 0, False
         self.places: dict[str, Place] = {}
@@ -282,29 +285,55 @@
         self.callers[caller] = None
         self.counts["client_links"] += 1
         if len(self.callers) >= self.limits.client_links:
-            self.make_room()
+            self.make_room(1)
         if len(self.callers) > self.limits.client_over:
             self.counts["client_links_over"] += 1
             self.do(link.abort)
         elif len(self.callers) >= self.limits.client_most and not self.full:
-            self.full = True
-            self.do(self.doors.take_in, False)
-
-    def make_room(self) -> None:
-        """Guards against running out of descriptors: the client's connection that has rested longest ends.
-        One that came or got an answer just now is left alone, as a command may be on its way; where there
-        are only such, no more are taken in for a while."""
-        rested = self.now - self.limits.rest_ms
-        idle = [c for c in self.callers if c.state == "up" and not c.queue and c.rested_at < rested]
-        if idle:
-            self.hang_up(min(idle, key=lambda caller: caller.rested_at))
+            self.take_in(False)
+            self.wake_at(self.now + self.limits.fresh_ms, "crowded")
+
+    def make_room(self, most: int) -> None:
+        """Guards against running out of descriptors: the clients' connections end that have asked nothing
+        yet, then those that have rested longest. One that came or got an answer just now is left alone, as a
+        command may be on its way; where there are only such, no more are taken in for a while. Hurts a client
+        that opens connections before it needs them, or sends a command in pieces."""
+        came, rested = self.now - self.limits.fresh_ms, self.now - self.limits.rest_ms
+        idle = [
+            caller
+            for caller in self.callers
+            if caller.state == "up"
+            and not caller.queue
+            and caller.rested_at <= (rested if caller.spoke else came)
+        ]
+        for caller in sorted(idle, key=lambda caller: (caller.spoke, caller.rested_at))[:most]:
+            if caller.spoke:
+                self.hang_up(caller)
+            else:
+                self.do(caller.link.look)
+
+    def client_silent(self, caller: Caller) -> None:
+        if caller.state == "up" and not caller.spoke:
+            self.counts["client_links_silent"] += 1
+            caller.state, caller.closing_since = "closing", self.now
+            self.do(caller.link.abort)
+
+    def crowd(self) -> None:
+        """While no more are taken in: room is made as fast as those that say nothing come."""
+        if self.full:
+            self.make_room(len(self.callers))
+            self.wake_at(self.now + self.limits.fresh_ms, "crowded")
+
+    def take_in(self, on: bool) -> None:
+        self.full = not on
+        self.do(self.doors.take_in, on)
+        self.diary.event("taking in" if on else "full", clients=len(self.callers), tasks=len(self.errands))
 
     def client_down(self, caller: Caller) -> None:
         caller.state = "gone"
         self.callers.pop(caller, None)
         if self.full and len(self.callers) < self.limits.client_most:
-            self.full = False
-            self.do(self.doors.take_in, True)
+            self.take_in(True)
         for waiting in caller.queue:
             if isinstance(waiting, Errand) and waiting.answer is None:
                 waiting.answer = b""
@@ -348,7 +377,7 @@
         self.counts["malformed"] += 1
         self.diary.event("malformed", why=why)
         if caller.state == "up":
-            caller.state = "spoilt"  # what came before is still answered, then the connection ends
+            caller.state, caller.spoilt_since = "spoilt", self.now  # what came before is still answered
             reply = Reply()
             caller.queue.append(reply)
             self.fill(caller, reply, b"-ERR %b\r\n" % why.encode("ascii", "replace")[:200])
@@ -363,19 +392,29 @@
     def asked(self, caller: Caller, ask: Ask) -> None:
         if caller.state != "up" or self.crowded(caller):
             return
-        self.counts["taken"] += 1
+        caller.spoke = True
         product, plan = self.products.get(ask.product), self.plans.get(ask.plan)
         if product is None or plan is None:
             self.malformed(caller, "unknown product or plan")
             return
+        kind = product.kind
+        if ask.harmless != (kind is Kind.HARMLESS) or (kind is Kind.STAMPED and not ask.stamped):
+            self.malformed(caller, "not a command of this product")
+            return
+        if ask.id in self.ids:
+            self.malformed(caller, "id in use")  # guards against answers for one that reach another
+            return
+        self.counts["taken"] += 1
         customer = self.customers.get(ask.customer)
         if customer is None:
             customer = self.customers[ask.customer] = Customer(ask.customer)
-        cutoff_at = self.now + max(ask.left_ms / 2, ask.left_ms - self.limits.margin_ms)
+        left_ms = min(ask.left_ms, product.cutoff_ms)  # guards against tasks that are held for hours
+        cutoff_at = self.now + max(left_ms / 2, left_ms - self.limits.margin_ms)
         errand = Errand(product, plan, customer, self.now, cutoff_at, ask.units, ask.spread)
         errand.caller, errand.ask, errand.size = caller, ask, ask.size()
         caller.queue.append(errand)
         self.errands[errand] = None
+        self.ids[ask.id] = errand
         self.held += errand.size
         if (
             len(self.errands) > self.limits.tasks
@@ -434,7 +473,8 @@
             self.fill(caller, errand, answer)
 
     def forget(self, errand: Errand) -> None:
-        self.errands.pop(errand, None)
+        if errand in self.errands:
+            del self.errands[errand], self.ids[errand.ask.id]
         self.held -= errand.size
         errand.size = 0
         if errand.alarm is not None:
@@ -790,28 +830,47 @@
         for place in self.places.values():
             while place.idle and now - place.idle[0].idle_since > limits.host_idle_ms:
                 advance(HOST_LINK, place.idle[0], "aged", self)
-        if self.full:
-            self.make_room()
         for caller in list(self.callers):
-            if caller.state == "closing":
-                if now - caller.closing_since > limits.close_ms:
-                    self.do(caller.link.abort)  # guards against clients that do not close their side
-            elif not caller.link.half():
-                caller.half_since = 0.0
-            elif not caller.half_since:
-                caller.half_since = now
-            elif now - caller.half_since > limits.half_ms and not caller.queue:
-                self.malformed(caller, "command not ended")  # guards against half commands kept for ever
+            self.look_at(caller)
         self.wake_at(now + limits.sweep_ms, "sweep")
 
+    def look_at(self, caller: Caller) -> None:
+        """Guards against clients that do not close their side, keep half a command for ever, say nothing, or
+        keep a connection that they need no more."""
+        now, limits = self.now, self.limits
+        if caller.state == "closing":
+            if now - caller.closing_since > limits.close_ms:
+                self.do(caller.link.abort)
+        elif caller.state == "spoilt":
+            if now - caller.spoilt_since > limits.spoilt_ms:
+                for waiting in list(caller.queue):
+                    if isinstance(waiting, Errand) and waiting.answer is None:
+                        self.gateway.client_gone(waiting)
+                        self.error(waiting)
+        elif not caller.link.half():
+            caller.half_since = 0.0
+            patience = limits.rest_ms if caller.spoke else limits.half_ms
+            if caller.queue or now - caller.rested_at <= patience:
+                return
+            if caller.spoke:
+                self.hang_up(caller)
+            else:
+                self.malformed(caller, "nothing said")
+        elif not caller.half_since:
+            caller.half_since = now
+        elif now - caller.half_since > limits.half_ms:
+            self.malformed(caller, "command not ended")
+
 
 INPUTS = {
     "start": Reducer.start,
     "mode": Reducer.mode,
     "sweep": Reducer.sweep,
+    "crowded": Reducer.crowd,
     "woke": Reducer.woke,
     "client up": Reducer.client_up,
     "client down": Reducer.client_down,
+    "client silent": Reducer.client_silent,
     "client choked": Reducer.choked,
     "client eased": Reducer.eased,
     "asked": Reducer.asked,
--- a/granitedock/service/resp.py
+++ b/granitedock/service/resp.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from socket import MSG_DONTWAIT, MSG_PEEK
 from typing import Any
 
 from twisted.protocols.basic import LineReceiver
@@ -54,6 +55,17 @@
     return b"\r\n".join(parts) + b"\r\n"
 
 
+def unread(transport: Any) -> bool:
+    """Whether the peer has sent what is not read yet, or has ended the connection."""
+    try:
+        transport.getHandle().recv(1, MSG_PEEK | MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        pass
+    return True
+
+
 class RespReceiver(LineReceiver):
     """Calls `received` with each whole value and the pieces of its bytes, which stood between line ends, and
     `malformed` once, after which it is deaf."""
--- a/granitedock/service/serve.py
+++ b/granitedock/service/serve.py
@@ -20,6 +20,7 @@
 from twisted.internet.epollreactor import EPollReactor
 from twisted.internet.error import CannotListenError
 from twisted.internet.main import installReactor
+from twisted.internet.tcp import Port
 from twisted.logger import globalLogBeginner
 
 from granitedock.service.clients import ClientDoor
@@ -93,6 +94,18 @@
                 self.tell(wake.name, *wake.what)
 
 
+class ClientPort(Port):
+    """Guards the tasks on connections that are up against floods of new ones: few are taken in at a turn."""
+
+    def __init__(self, port, door, backlog: int, interface: str, reactor, accepts: int) -> None:
+        super().__init__(port, door, backlog, interface, reactor)
+        self.accepts = accepts
+
+    def doRead(self) -> None:
+        self.numberAccepts = self.accepts
+        super().doRead()
+
+
 class Doors:
     """What the reducer asks for beyond a connection that is up: dials, wakes, and the end."""
 
@@ -199,9 +212,10 @@
         host, _, port = self.listen.rpartition(":")
         door = ClientDoor(self.tell, self.limits)
         self.tell("start")
-        self.doors.port = self.reactor.listenTCP(
-            int(port), door, backlog=self.limits.backlog, interface=host.strip("[]")
+        self.doors.port = ClientPort(
+            int(port), door, self.limits.backlog, host.strip("[]"), self.reactor, self.limits.accepts
         )
+        self.doors.port.startListening()
         self.log.event("listening", address=self.listen)
         gc.collect()
         gc.freeze()
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -114,12 +114,13 @@
     "Balancers": 1,
     "Lanes": [
         {"Name": "read", "Repeat": "safe", "TargetMs": 1000, "GiveUpMs": 4000, "Worth": 1},
+        {"Name": "mark", "Repeat": "keyed", "TargetMs": 1000, "GiveUpMs": 4000, "Worth": 1},
         {"Name": "once", "Repeat": "unsafe", "TargetMs": 1000, "GiveUpMs": 4000, "Worth": 1},
     ],
     "Tariffs": [{"Name": "p", "Refill": 10, "MostAtOnce": 20}],
     "Allowed": {"MaxAttempts": 3, "Cancel": True, "ConnIdleMs": 10000, "MostHeld": 100},
     "Safety": {"ColdFrom": 0.2, "ColdMs": 1000, "OverloadFactor": 2, "TipAfterMs": 1000},
-    "Specifics": {"Counter": True},
+    "Specifics": {"Counter": True, "MaxUnits": 4},
 }
 
 
@@ -128,7 +129,7 @@
 
     def __init__(self, link, stuck=False):
         self.link, self.stuck, self.written, self.closed, self.disconnecting = link, stuck, b"", "", False
-        link.transport, self.connected = self, True
+        link.transport, self.connected, self.unread = self, True, b""
 
     def write(self, data):
         self.written += data
@@ -152,6 +153,15 @@
     doWrite = unregisterProducer = pauseProducing = resumeProducing = lambda self: None
 
     def getHandle(self):
+        return self
+
+    def recv(self, _size, _flags):
+        """A look at what lies unread."""
+        if not self.unread:
+            raise BlockingIOError
+        return self.unread[:1]
+
+    def shutdown(self, _how):
         raise OSError
 
     def took(self):
@@ -165,7 +175,8 @@
 
     def __init__(self, hosts=2, memory_mb=192, sockets=64):
         self.now, self.wakes, self.dials, self.lines, self.counts = 100000.0, [], [], [], Counter()
-        self.left = self.shut_at = None
+        self.left = self.shut_at = self.takes_in = None
+        self.next_id = 0x0123456789ABCDEF
         self.limits = Limits.told({"limits": {"memory_mb": memory_mb, "sockets": sockets}, "settings": BORN})
         self.reducer = Reducer(self.now, self.limits, BORN, 7, self.listing(1, hosts), self, self)
         self.tell("start")
@@ -233,7 +244,8 @@
     def ask(self, line, product="read", d=3000, more=b"", body=()):
         text = b"c=%b,t=p,d=%d,units=1,spread=1,first=0%b" % (product.encode(), d, more)
         name = b"API.READ" if product == "read" else b"API.WRITE"
-        line.link.dataReceived(command(name, b"00000000000000a1", b"0123456789abcdef", text, *body))
+        line.link.dataReceived(command(name, b"00000000000000a1", b"%016x" % self.next_id, text, *body))
+        self.next_id += 1
 
     def pass_ms(self, ms):
         end = self.now + ms
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -72,9 +72,11 @@
                 break
             except ConnectionRefusedError:
                 time.sleep(0.1)
-        client.sendall(command(b"PING") + task(b"fast"))
+        client.sendall(command(b"PING"))
         said = client.makefile("rb")
-        assert said.readline() == b"+PONG\r\n" and said.read(len(VALUE)) == VALUE
+        assert said.readline() == b"+PONG\r\n"  # discovery has spoken, so there is a host
+        client.sendall(task(b"fast"))
+        assert said.read(len(VALUE)) == VALUE
         counters = subprocess.run([*run, "counters", told["listen"]], capture_output=True, timeout=10)
         assert b"done:1" in counters.stdout.split() and counters.returncode == 0
         calls = []
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -7,6 +7,7 @@
 from pytest import raises
 
 from granitedock.service.counter import PING
+from granitedock.service.resp import command
 from granitedock.service.hosts import HostLink
 from granitedock.service.serve import Clock
 
@@ -171,10 +172,6 @@
     wired, _, client = begun()
     client.link.dataReceived(b"x" * 2000)
     assert client.took().startswith(b"-ERR ") and client.closed
-    wired, _, client = begun()
-    client.link.dataReceived(PING[:6])
-    wired.pass_ms(11000)
-    assert client.took().startswith(b"-ERR ") and client.closed
 
 
 def test_a_connection_that_ends_before_the_last_byte_proves_that_nothing_ran():
@@ -336,14 +333,28 @@
     assert client.took() == b""  # it waits behind the first ones
     assert wired.counts["deferred"] == 1
     wired, lines, client = begun(sockets=20)
-    wired.now += 1100
+    [host] = quick(wired, lines, client, 1)
+    wired.now += 2100
     others = [wired.client() for _ in range(2)]
+    others.append(wired.client())
     assert client.closed == "closed" and wired.takes_in is False
     client.link.connectionLost()
     assert wired.takes_in is True
     wired.client()
     assert not any(line.closed for line in others)  # their commands may be on their way
     assert wired.takes_in is False
+    wired.ask(others[0])
+    counted(wired, lines)
+    host.link.dataReceived(VALUE)
+    others[2].link.dataReceived(PING)  # which is no task
+    others[1].link.dataReceived(PING[:6])
+    others[1].unread = PING[6:]
+    wired.pass_ms(150)
+    assert not others[1].closed  # it has spoken, we were slow
+    others[1].unread = b""
+    wired.pass_ms(100)
+    assert others[1].closed == others[2].closed == "aborted"  # first those that ask nothing
+    assert not others[0].closed
     wired.pass_ms(2000)
     assert others[0].closed == "closed"
     wired, lines, client = begun(sockets=20)
@@ -355,6 +366,62 @@
     assert all(host.health.state == "trusted" for host in wired.reducer.gateway.fleet.ready)
 
 
+def test_a_task_out_of_form_or_range_is_answered_with_an_error_and_charges_nobody():
+    right = b"c=read,t=p,d=480,units=2,spread=1,first=0"
+    bad = [right.replace(*change) for change in (
+        (b"c=read", b"c=unheard"), (b"c=read", b"c=once"), (b"c=read", b"c=mark"), (b"t=p", b"t=q"),
+        (b"d=480", b"d=nan"), (b"d=480", b"d=-1"), (b"d=480", b"d=4_8"), (b"d=480,", b""), (b"d=", b"d=1,d="),
+        (b"units=2", b"units=nan"), (b"units=2", b"units=1e3"), (b"units=2", b"units=0"),
+        (b"units=2", b"units=-2"), (b"units=2", b"units=9"), (b"spread=1", b"spread=0"),
+        (b"spread=1", b"spread=2"), (b"first=0", b"first=1"), (b"first=0", b"first=x"),
+    )]  # fmt: skip
+    words = [(b"00000000000000a1", b"7", text) for text in bad]
+    words += [(b"a1", b"7", right), (b"ffffffffffffffff", b"7", right), (b"00000000000000a1", b"", right)]
+    words += [(b"00000000000000a1", right)]
+    for some in words:
+        wired, lines, client = begun()
+        client.link.dataReceived(command(b"API.READ", *some))
+        assert client.took().startswith(b"-ERR ") and client.closed == "closed", some
+        assert not wired.reducer.customers and not any(line.written for line in lines)
+        client.link.dataReceived(command(b"API.READ", b"00000000000000a1", b"7", right))
+        assert not client.written and not wired.reducer.errands  # nothing behind it is read
+
+
+def test_the_id_of_a_task_in_hand_is_refused_to_another_and_free_afterwards():
+    wired, lines, client = begun()
+    host = forwarded(wired, lines, client)
+    other = wired.client()
+    wired.next_id -= 1
+    wired.ask(other)
+    assert other.took() == b"-ERR id in use\r\n" and other.closed
+    host.link.dataReceived(VALUE)
+    assert client.took() == VALUE
+    wired.next_id -= 1
+    wired.ask(client)
+    counted(wired, lines)
+    host.link.dataReceived(VALUE)
+    assert client.took() == VALUE
+
+
+def test_who_says_nothing_or_half_of_it_hears_of_it_within_three_seconds():
+    wired, lines, client = begun()
+    half, behind, busy = wired.client(), wired.client(), wired.client()
+    half.link.dataReceived(PING[:6])
+    forwarded(wired, lines, behind)
+    behind.link.dataReceived(b"?\r\n")
+    host = forwarded(wired, lines, busy)
+    wired.pass_ms(2700)
+    assert client.took().startswith(b"-ERR ") and half.took().startswith(b"-ERR ")
+    assert behind.took().startswith(b"-ERR failed\r\n-ERR ") and not busy.closed
+    assert client.closed == half.closed == behind.closed == "closed"
+    host.link.dataReceived(VALUE)
+    assert busy.took() == VALUE
+    wired.pass_ms(6000)
+    assert busy.closed == "closed"  # it asks no more
+    half.link.dataReceived(300000 * b"x")
+    assert half.closed == "closed" and half.link.dropped == 300000
+
+
 def test_no_end_of_commands_behind_a_slow_one_ends_the_connection():
     wired, lines, client = begun()
     wired.ask(client)
