--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -447,11 +447,14 @@
 
     def counted(self, call: Call, ending: Ending, total: float) -> None:
         book, task = call.customer.book, call.task
-        call.answered, call.landed = True, ending is Ending.DONE
+        told = ending is Ending.DONE
+        call.answered, call.landed = True, told or ending is Ending.RESET  # reset: added, but no total came
         if book is not None:
             book.turn(self.now)
-            if call.landed:
+            if told:
                 book.told(call, total, self.now)
+            elif call.landed:
+                book.current += call.amount * (call.window == book.window)
             elif ending is not Ending.TIMEOUT and call.window == book.window:
                 book.debt += (task.units if task is not None else 0.0) - call.amount  # proved not added
         if task is None:
@@ -459,8 +462,8 @@
         if call.landed and task.state == "over" and not task.forwards:
             self.settle(call, -task.units)  # late, or the client left: it never went out; else they stay
         if not call.overdue:
-            self.breaker.tell("succeeded" if call.landed else "failed")
-            verdict = ("over" if book.over(self.now) else "within") if call.landed else "unanswered"
+            self.breaker.tell("succeeded" if told else "failed")
+            verdict = ("over" if book.over(self.now) else "within") if told else "unanswered"
             advance(TASK, task, verdict, self)
 
     def ended(
--- a/granitedock/service/counter.py
+++ b/granitedock/service/counter.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 from granitedock.policy.interface import Ending
@@ -13,6 +14,7 @@
 from granitedock.service.resp import Fault, RespReceiver, command
 
 PING = command(b"PING")
+TOTAL = re.compile(rb"-?[0-9]{1,15}(\.[0-9]{1,15})?([eE][+-]?[0-9]{1,2})?").fullmatch
 
 
 def amount(number: float) -> bytes:
@@ -43,20 +45,26 @@
     def connectionLost(self, reason=None) -> None:
         self.tell("counter down", self.record)
 
+    def dataReceived(self, data: bytes) -> None:
+        super().dataReceived(data)
+        if not self.deaf and self.half():
+            self.tell("counter begun", self.record)
+
     def received(self, value: Any, parts: list[bytes]) -> None:
-        if type(value) is bytes:
-            try:
-                self.tell("counter answered", self.record, Ending.DONE, float(value))
-                return
-            except ValueError:
-                pass
-        if type(value) is Fault and value.text.split(b" ", 1)[0] == b"BUSY":
+        word = value.text.split(b" ", 1)[0] if type(value) is Fault else b""
+        if type(value) is bytes and TOTAL(value):
+            self.tell("counter answered", self.record, Ending.DONE, float(value))
+        elif value == "PONG":
+            self.tell("counter answered", self.record, Ending.DONE, None)
+        elif word == b"BUSY":
             self.tell("counter answered", self.record, Ending.FULL, 0.0)
-        else:
+        elif word == b"ERR":
             self.tell("counter answered", self.record, Ending.ERROR, 0.0)
+        else:
+            self.spoil("no answer to a call")
 
     def malformed(self, why: str) -> None:
-        self.transport.abortConnection()
+        self.tell("counter spoilt", self.record, why)
 
     # What the reducer asks for.
 
--- a/granitedock/service/hosts.py
+++ b/granitedock/service/hosts.py
@@ -1,35 +1,42 @@
 """The hosts' side: one forward at a time on a connection, and what its answer means.
 
 Owns the bytes of one forward from its first to its answer, and tells when the last of them was
-written. It must never send a forward again, hold two, or choose a host.
+written. It must never send a forward again, hold two, choose a host, or call good what is out of form.
 """
 
 from __future__ import annotations
 
+import re
 from contextlib import suppress
 from socket import SHUT_WR
 from typing import Any
 
 from granitedock.policy.interface import Ending
 from granitedock.service.limits import Limits
-from granitedock.service.resp import Fault, RespReceiver, whole
+from granitedock.service.resp import Fault, RespReceiver, unread, whole
 
 
-def figures(told: Any) -> tuple[float, int]:
-    """The true units and the customer's use, where an answer tells them.
+BUSY = re.compile(rb"BUSY( [!-~]*)?").fullmatch
+FAILED = re.compile(rb"ERR failed( [!-~]*)?").fullmatch
+COST = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?").fullmatch
+USED = re.compile(rb"[0-9]{1,9}").fullmatch
 
-    >>> figures(b"used=86,cost=3"), figures(None), figures(86), figures(b"?")
+
+def figures(told: Any, most: float) -> tuple[float, int]:
+    """The true units and the customer's use, where an answer tells them. Guards the decisions against figures
+    that can't be read, are no numbers, or more than a task may take: the value is good without them.
+
+    >>> figures(b"used=86,cost=3", 4.0), figures(None, 4.0), figures(86, 4.0), figures(b"?", 4.0)
     ((3.0, 86), (0.0, 0), (0.0, 86), (0.0, 0))
+    >>> [figures(b"used=%b,cost=%b" % (it, it), 4.0) for it in (b"nan", b"inf", b"1_0", b"-1", b"9")]
+    [(0.0, 0), (0.0, 0), (0.0, 0), (0.0, 0), (0.0, 9)]
     """
     if type(told) is int:
-        return 0.0, told
-    if type(told) is not bytes:
-        return 0.0, 0
-    try:
-        named = dict(pair.split(b"=", 1) for pair in told.split(b","))
-        return float(named.get(b"cost", 0)), int(named.get(b"used", 0))
-    except ValueError:
-        return 0.0, 0
+        told = b"used=%d" % told
+    named = dict(pair.partition(b"=")[::2] for pair in told.split(b",")) if type(told) is bytes else {}
+    cost, used = named.get(b"cost", b""), named.get(b"used", b"")
+    units = float(cost) if COST(cost) else 0.0
+    return units if units <= most else 0.0, int(used) if USED(used) else 0
 
 
 class HostLink(RespReceiver):
@@ -39,8 +46,11 @@
 
     def __init__(self, tell, limits: Limits) -> None:
         super().__init__(limits.line, limits.value, limits.whole, limits.items, limits.depth)
-        self.tell = tell
+        self.tell, self.most_units = tell, limits.true_units
         self.data: bytes | None = None
+        self.answer: tuple | None = None
+        self.why = ""  # what is out of form
+        self.begun = False
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -49,24 +59,45 @@
     def connectionLost(self, reason=None) -> None:
         self.tell("host down", self.record)
 
+    def dataReceived(self, data: bytes) -> None:
+        """Guards against answers that bring more than is theirs: one is told once all that came with it has
+        been looked at, with whether the connection may be used again."""
+        if self.deaf:
+            return
+        super().dataReceived(data)
+        if self.answer is not None:
+            answer, self.answer, self.begun = self.answer, None, False
+            clean = not (self.why or self.half() or unread(self.transport))
+            self.tell("host answered", self.record, clean, *answer)
+        elif self.why:
+            self.tell("host malformed", self.record, self.why)
+        elif not self.begun and self.half():
+            self.begun = True
+            self.tell("host begun", self.record)
+
     def received(self, value: Any, parts: list[bytes]) -> None:
-        if type(value) is list and value and type(value[0]) is bytes:
-            units, used = figures(value[1] if len(value) > 1 else None)
-            self.tell("host answered", self.record, Ending.DONE, whole(parts), units, used)
-        elif type(value) is bytes:
-            self.tell("host answered", self.record, Ending.DONE, whole(parts), 0.0, 0)
+        if self.answer is not None:
+            self.spoil("more than one answer")
+        elif type(value) is list and len(value) == 3 and type(value[0]) is bytes:
+            self.answer = Ending.DONE, whole(parts), *figures(value[1], self.most_units)
+        elif type(value) is Fault and BUSY(value.text):
+            self.answer = Ending.FULL, b"", 0.0, 0
+        elif type(value) is Fault and FAILED(value.text):
+            self.answer = Ending.ERROR, b"", 0.0, 0
         else:
-            busy = type(value) is Fault and value.text.split(b" ", 1)[0] == b"BUSY"
-            ending = Ending.FULL if busy else Ending.ERROR
-            self.tell("host answered", self.record, ending, b"", 0.0, 0)
+            self.spoil("no answer to a task")
 
     def malformed(self, why: str) -> None:
-        self.tell("host malformed", self.record, why)
+        self.why = why
 
     # What the reducer asks for.
 
     def send(self, data: bytes, at_once: bool) -> None:
-        """A further forward leaves a turn of the loop later, behind the end of the connection before it."""
+        """A further forward leaves a turn of the loop later, behind the end of the connection before it.
+        Guards against what has come since the last answer here: it would be taken for the next one."""
+        if self.half() or unread(self.transport):
+            self.tell("host stale", self.record)
+            return
         self.data = data
         self.transport.registerProducer(self, False)
         if at_once and self.transport.connected:
--- a/granitedock/service/limits.py
+++ b/granitedock/service/limits.py
@@ -38,9 +38,13 @@
     log_lines: int  # a second
     gateways: int  # numbered from 0 in a customer's set
     units: float  # of one task
+    true_units: float  # as a host may tell them behind an answer; 0 where they are not settled
     # Times, in milliseconds.
     connect_ms: float
     host_idle_ms: float  # a connection to a host is closed when idle so long, before the host does
+    settle_ms: float  # and used again no sooner after an answer, for what may follow behind
+    answer_ms: float  # an answer begun and not ended
+    total_ms: float  # and one of the counter, which is a line
     counter_ping_ms: float  # an idle connection to the counter is used at least so often
     counter_silence_ms: float  # with calls waiting, it is taken for dead after this
     counter_linger_ms: float  # and kept so long for late totals
@@ -67,6 +71,8 @@
         # Beside the links: standard streams, the reactor's own, the listener, the watch, and some to spare.
         links = max(8, sockets - 2 * counter - 20)
         allowed = born.get("Allowed") or {}
+        special = born.get("Specifics") or {}
+        units = float(special.get("MaxUnits") or 1e9)
         longest = max((float(lane["GiveUpMs"]) for lane in born["Lanes"]), default=3000.0)
         return cls(
             value=64 * KIB,
@@ -89,9 +95,13 @@
             accepts=8,
             log_lines=50,
             gateways=max(1, int(born.get("Balancers") or 1)),
-            units=float((born.get("Specifics") or {}).get("MaxUnits") or 1e9),
+            units=units,
+            true_units=units if special.get("TruedUp") else 0.0,
             connect_ms=float(allowed.get("ConnectTimeoutMs") or 250.0),
             host_idle_ms=float(allowed.get("ConnIdleMs") or 15000.0) / 2,
+            settle_ms=5.0,
+            answer_ms=250.0,
+            total_ms=50.0,
             counter_ping_ms=3000.0,
             counter_silence_ms=1000.0,
             counter_linger_ms=10000.0,
--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -43,18 +43,23 @@
     ("dialling", "no room"): ("gone", "never_sent"),
     ("dialling", "withdrawn"): ("gone", "never_ran"),
     ("writing", "written"): ("out", None),
+    ("writing", "stale"): ("gone", "dial_anew"),  # nothing of it was written
     ("writing", "answered"): ("gone", "abort"),  # before all of it was written, so it never ran
+    ("writing", "overfull"): ("gone", "abort"),
     ("writing", "malformed"): ("gone", "cut_short"),
     ("writing", "down"): ("gone", "never_ran"),
     ("writing", "late"): ("gone", "cut_short"),
     ("writing", "withdrawn"): ("gone", "cut_short"),
     ("out", "answered"): ("idle", "rest"),
+    ("out", "overfull"): ("gone", "abort"),  # more came than the answer
     ("out", "malformed"): ("gone", "broke_off"),
     ("out", "down"): ("gone", "broken"),
     ("out", "late"): ("gone", "overdue"),
     ("out", "withdrawn"): ("gone", "called_off"),
     ("idle", "needed"): ("writing", "write"),
     ("idle", "answered"): ("gone", "drop"),  # nothing was asked of it
+    ("idle", "overfull"): ("gone", "drop"),
+    ("idle", "begun"): ("gone", "drop"),
     ("idle", "malformed"): ("gone", "drop"),
     ("idle", "aged"): ("gone", "drop"),
     ("idle", "down"): ("gone", "forget_lane"),
@@ -68,6 +73,8 @@
     ("up", "silent"): ("old", "replace"),
     ("up", "moved"): ("old", "replace"),
     ("up", "down"): ("gone", "unknown"),
+    ("up", "spoilt"): ("gone", "added"),
+    ("old", "spoilt"): ("gone", "added"),
     ("old", "emptied"): ("gone", "close_old"),
     ("old", "lingered"): ("gone", "unknown_abort"),
     ("old", "down"): ("gone", "unknown"),
@@ -486,23 +493,25 @@
         place, errand = forward.host, forward.task
         stop_at = min(stop_at or errand.cutoff_at, errand.cutoff_at)
         self.counts["forwards"] += 1
-        while place.idle:
-            lane = place.idle.pop()
-            if lane.state == "idle" and self.now - lane.idle_since < self.limits.host_idle_ms:
+        for lane in reversed(place.idle):
+            if self.limits.settle_ms <= self.now - lane.idle_since < self.limits.host_idle_ms:
+                place.idle.remove(lane)
                 lane.forward, lane.stop_at = forward, stop_at
                 self.lanes[forward] = lane
+                lane.alarm = self.wake_at(stop_at, "late", lane, forward)
                 advance(HOST_LINK, lane, "needed", self)
-                break
-            advance(HOST_LINK, lane, "aged", self)
-        else:
-            lane = self.lanes[forward] = Lane(place, "dialling", forward, stop_at)
-            if self.host_links >= self.limits.host_links and not self.spare_link():
-                self.inbox.append((self.host, lane, "no room"))
-            else:
-                self.host_links += 1
-                self.counts["host_dials"] += 1
-                self.do(self.doors.dial_host, lane, place.address)
+                return
+        self.dial(place, forward, stop_at)
+
+    def dial(self, place: Place, forward: Forward, stop_at: float) -> None:
+        lane = self.lanes[forward] = Lane(place, "dialling", forward, stop_at)
         lane.alarm = self.wake_at(stop_at, "late", lane, forward)
+        if self.host_links >= self.limits.host_links and not self.spare_link():
+            self.inbox.append((self.host, lane, "no room"))
+        else:
+            self.host_links += 1
+            self.counts["host_dials"] += 1
+            self.do(self.doors.dial_host, lane, place.address)
 
     def defer(self, errand: Errand, come_back_ms: float | None) -> None:
         self.counts["deferred"] += 1
@@ -558,9 +567,13 @@
         lane.link = link
         advance(HOST_LINK, lane, "up", self)
 
-    def host_answered(self, lane: Lane, ending: Ending, data: bytes, units: float, used: int) -> None:
+    def host_answered(
+        self, lane: Lane, clean: bool, ending: Ending, data: bytes, units: float, used: int
+    ) -> None:
         forward, before = lane.forward, lane.state
-        advance(HOST_LINK, lane, "answered", self)
+        if not clean:
+            self.counts["overfull"] += 1
+        advance(HOST_LINK, lane, "answered" if clean else "overfull", self)
         if before == "out":
             self.ended(forward, ending, data, units, used)
         elif before == "writing":  # as a host does that has too many connections
@@ -570,6 +583,22 @@
         self.diary.event("host malformed", host=lane.place.address, why=why)
         advance(HOST_LINK, lane, "malformed", self)
 
+    def host_begun(self, lane: Lane) -> None:
+        """Guards against answers that begin and never end: hosts write them in one go."""
+        if lane.forward is not None:
+            self.wake_at(self.now + self.limits.answer_ms, "stalled", lane, lane.forward)
+        self.host(lane, "begun")
+
+    def stalled(self, lane: Lane, forward: Forward) -> None:
+        if lane.forward is forward and lane.link.half():
+            self.host_malformed(lane, "answer not ended")
+
+    def dial_anew(self, lane: Lane) -> None:
+        self.counts["host_stale"] += 1
+        self.do(lane.link.abort)
+        forward, lane.forward, lane.alarm.name = lane.forward, None, None
+        self.dial(lane.place, forward, lane.stop_at)
+
     def late(self, lane: Lane, forward: Forward) -> None:
         if lane.forward is forward:
             advance(HOST_LINK, lane, "late", self)
@@ -678,9 +707,12 @@
         wire.link = link
         advance(COUNTER_LINK, wire, "up", self)
 
-    def counter_answered(self, wire: Wire, ending: Ending, total: float) -> None:
+    def counter_answered(self, wire: Wire, ending: Ending, total: float | None) -> None:
+        if not wire.waiting or (wire.waiting[0] is None) != (total is None):
+            self.counter_spoilt(wire, "answer out of turn")
+            return
         wire.heard_at = self.now
-        call = wire.waiting.popleft() if wire.waiting else None
+        call = wire.waiting.popleft()
         if call is not None:
             self.counts["call_" + ending.value] += 1
             self.call_off(call)
@@ -688,6 +720,29 @@
         if not wire.waiting:
             advance(COUNTER_LINK, wire, "emptied", self)
 
+    def counter_spoilt(self, wire: Wire, why: str) -> None:
+        self.diary.event("counter spoilt", waiting=len(wire.waiting), why=why)
+        advance(COUNTER_LINK, wire, "spoilt", self)
+
+    def counter_begun(self, wire: Wire) -> None:
+        """Guards against answers that begin and never end, as at the hosts."""
+        self.wake_at(self.now + self.limits.total_ms, "counter stalled", wire, wire.heard_at)
+
+    def counter_stalled(self, wire: Wire, heard_at: float) -> None:
+        if wire.heard_at == heard_at and wire.link.half():
+            self.counter_spoilt(wire, "answer not ended")
+
+    def added(self, wire: Wire) -> None:
+        """Guards against answers without a total: the call was made, and the connection is of no further use.
+        What waits behind it may have been added or may not."""
+        self.do(wire.link.abort)
+        call = wire.waiting.popleft() if wire.waiting else None
+        if call is not None:
+            self.counts["call_spoilt"] += 1
+            self.call_off(call)
+            self.inbox.append((self.gateway.counted, call, Ending.RESET, 0.0))
+        self.lost(wire, Ending.TIMEOUT)
+
     def flush(self, wire: Wire) -> None:
         wire.heard_at = self.now
         calls = [tally(call.name, call.amount, call.life_ms) for call in wire.waiting]
@@ -881,11 +936,17 @@
     "host down": Reducer.host_down,
     "host answered": Reducer.host_answered,
     "host malformed": Reducer.host_malformed,
+    "host begun": Reducer.host_begun,
+    "host stale": lambda self, lane: self.host(lane, "stale"),
+    "stalled": Reducer.stalled,
     "written": lambda self, lane: self.host(lane, "written"),
     "late": Reducer.late,
     "counter up": Reducer.counter_up,
     "counter down": lambda self, wire: self.counter(wire, "down"),
     "counter answered": Reducer.counter_answered,
+    "counter spoilt": Reducer.counter_spoilt,
+    "counter begun": Reducer.counter_begun,
+    "counter stalled": Reducer.counter_stalled,
     "counter due": Reducer.wire,
     "watch up": Reducer.watch_up,
     "watch down": lambda self, watch: self.watch_signal(watch, "down"),
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -47,6 +47,7 @@
             hosts.append(wired.comes_up())
         wired.now += 1
         next(host for host in hosts if host.took()).link.dataReceived(VALUE)
+        wired.now += 5
     client.took()
     return hosts
 
@@ -60,6 +61,7 @@
     for byte in VALUE:
         host.link.dataReceived(bytes([byte]))
     assert client.took() == VALUE
+    wired.now += 10
     wired.ask(client)
     counted(wired, lines)
     assert b"API.READ" in host.took() and not wired.dials  # the connection serves again
@@ -73,6 +75,7 @@
         counted(wired, lines)
         host = host or wired.comes_up()
         host.link.dataReceived(b"-ERR failed\r\n")
+        wired.now += 10
     assert client.took() == 3 * b"-ERR failed\r\n"  # it may have run, so trying again is not offered
     assert ("decision", {"line": "host trusted to aside: 3 failures, 0 out"}) in wired.lines
 
@@ -243,11 +246,57 @@
 
 
 def test_an_answer_too_long_or_out_of_form_ends_its_forward_as_one_that_may_have_run():
-    for data in (b"*1\r\n$99999\r\n", b"?\r\n", b"*2\r\n$-1\r\n$-1\r\n"):
+    said = (
+        b"*1\r\n$99999\r\n",
+        b"?\r\n",
+        b"*2\r\n$-1\r\n$-1\r\n",
+        b"-WHAT\r\n",
+        b"-BUSY \x80\r\n",
+        b"+OK\r\n",
+    )
+    for data in (*said, VALUE[:9]):
         wired, lines, client = begun()
         host = forwarded(wired, lines, client, product="once")
         host.link.dataReceived(data)
-        assert client.took() == b"-ERR failed\r\n", data
+        wired.pass_ms(300)  # it begins and does not end
+        assert client.took() == b"-ERR failed\r\n" and host.closed == "aborted", data
+
+
+def test_what_follows_an_answer_reaches_nobody():
+    for more in (VALUE, b"noise", b"-ERR failed\r\n", b"\x00\r\n"):
+        wired, lines, client = begun(hosts=1)
+        host = forwarded(wired, lines, client)
+        host.link.dataReceived(VALUE + more)  # in one read
+        assert client.took() == VALUE and host.closed == "aborted", more
+        wired.now += 10
+        host = forwarded(wired, lines, client)
+        host.unread = more  # behind what was read
+        host.link.dataReceived(VALUE)
+        assert client.took() == VALUE and host.closed == "aborted"
+        wired.now += 10
+        host = forwarded(wired, lines, client)
+        host.link.dataReceived(VALUE)
+        host.unread = more  # just before the next forward
+        client.took()
+        wired.now += 10
+        anew = forwarded(wired, lines, client)
+        assert host.closed == "aborted" and not host.took().count(b"API") > 1
+        host.link.dataReceived(more)
+        assert client.took() == b""
+        anew.link.dataReceived(VALUE)
+        assert client.took() == VALUE and wired.counts["forward_done"] == 4
+
+
+def test_a_good_value_with_figures_that_make_no_sense_is_done():
+    for more in (
+        b"$8\r\ncost=nan\r\n$1\r\n?\r\n",
+        b":-7\r\n$3\r\n\xff\x00,\r\n",
+        b"$0\r\n\r\n$8\r\ncost=inf\r\n",
+    ):
+        wired, lines, client = begun()
+        value = b"*3\r\n$5\r\nvalue\r\n" + more
+        forwarded(wired, lines, client).link.dataReceived(value)
+        assert client.took() == value and next(iter(wired.reducer.gateway.books)).book.debt == 0
 
 
 def test_a_silent_counter_is_replaced_and_its_late_totals_still_count():
@@ -261,6 +310,21 @@
     assert book.current == 17 and old.closed == "aborted"
 
 
+def test_a_counter_s_answer_without_a_number_was_added_and_ends_its_connection():
+    for said in (b"$3\r\nnan\r\n", b"$1\r\n?\r\n", b"+OK\r\n", b"$-1\r\n", b"noise\r\n", b"$9\r\n1"):
+        wired, lines, client = begun()
+        wired.ask(client)
+        wired.ask(client)
+        old = next(line for line in lines if line.written)
+        book = next(iter(wired.reducer.gateway.books)).book
+        old.link.dataReceived(said)
+        wired.pass_ms(50)
+        assert old.closed == "aborted" and book.current == 1 and book.debt == 0, said
+        assert wired.counts["call_spoilt"] == wired.counts["call_timeout"] == 1  # the one behind: not known
+        wired.pass_ms(600)
+        assert any(dial[2] == "counter down" for dial in wired.dials)
+
+
 def test_a_file_that_names_other_addresses_moves_the_counter_and_the_watch():
     wired, lines, client = begun()
     wired.ask(client)
@@ -316,8 +380,9 @@
         hosts += [wired.comes_up()] if wired.dials else []
     client.link.pauseProducing()
     for host in hosts:
-        host.link.dataReceived(b"*1\r\n$60000\r\n" + 60000 * b"x" + b"\r\n")
+        host.link.dataReceived(VALUE.replace(b"$5\r\nvalue", b"$60000\r\n" + 60000 * b"x"))
     assert client.closed == "aborted" and wired.reducer.held == 0
+    wired.now += 10
     gone = wired.client()
     wired.ask(gone)
     counted(wired, lines)
@@ -396,6 +461,7 @@
     assert other.took() == b"-ERR id in use\r\n" and other.closed
     host.link.dataReceived(VALUE)
     assert client.took() == VALUE
+    wired.now += 10
     wired.next_id -= 1
     wired.ask(client)
     counted(wired, lines)
