--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -16,6 +16,7 @@
 from granitedock.ring import Ring
 
 BUDGET_MS = 20.0  # the design's budget of a call to the counter
+BUDGET_MEANS, BUDGET_MOST = 3.0, 0.1  # mean times, where that is more; of the shortest quoted time
 BREAKER_FAILURES, QUARANTINE_MS = 5, 1500.0  # in a row open the breaker; then one trial call
 CALM_MS = 5000.0  # without a failed call before the counter has room for calls that can wait
 RATION_LESS, RATION_MORE, LEAST_RATION = 0.8, 0.03, 0.1  # of the tasks counted: after a failure, a success
@@ -117,6 +118,7 @@
     def __init__(self, log) -> None:
         self.state, self.failures, self.until, self.now, self.log = "closed", 0, 0.0, 0.0, log
         self.failed_at, self.ration, self.credit = float("-inf"), 1.0, 1.0
+        self.times = Ring(10000.0)  # of calls that were answered, late ones too
 
     def tell(self, signal: str) -> None:
         before = self.state
@@ -125,8 +127,7 @@
             self.log(f"breaker {before} to {self.state}: {self.failures} failures in a row")
 
     def lets_call(self) -> bool:
-        """Guards against a counter that gets more calls than it can answer: all answers would be late, and
-        none count. Each gateway counts a part of its tasks, which failures cut and successes let grow."""
+        """Guards against more calls than the counter can answer: failures cut the part that is counted."""
         self.credit = min(2.0, self.credit + self.ration)
         if self.state == "open" and self.now >= self.until:
             self.tell("quarantine over")
@@ -139,6 +140,10 @@
         """All tasks are counted, and no call failed for a while: there is room for calls that can wait."""
         return self.ration >= 1.0 and self.now - self.failed_at > CALM_MS
 
+    def budget(self, most: float) -> float:
+        """Guards against a counter only slower than assumed. Hurts where the wait makes tasks late."""
+        return max(BUDGET_MS, min(most, BUDGET_MEANS * self.times.mean(self.now, 1.0, 0.0)))
+
     def tally(self, _self) -> str | None:
         self.failures, self.failed_at = self.failures + 1, self.now
         self.ration = max(LEAST_RATION, RATION_LESS * self.ration)
@@ -162,8 +167,7 @@
         self.allowance = plan.rate * self.window_ms + plan.burst
         self.window, self.current, self.previous = -1, 0.0, 0.0
         self.spell, self.seen_at = 0.0, now  # units used in this spell beyond what the rate has paid
-        self.debt = 0.0  # units owed back to the current name
-        self.out, self.touched_at = 0, now
+        self.debt, self.out, self.touched_at = 0.0, 0, now  # the debt: units owed back to the current name
         self.local: Bucket | None = None  # the emergency bucket, while the counter gives no answers
         # A ceiling is held by an even share that starts as low as the slack allows: a gateway cannot tell
         # a restart from a first start, and one of every gateway of the set passes it by half the slack.
@@ -178,7 +182,7 @@
             self.window, self.current, self.debt = window, 0.0, 0.0
 
     def told(self, call: Call, total: float, now: float) -> None:
-        """Take in a total. What others added since the last one is taken as spread over the time between."""
+        """Take in a total. What others added since the last one is taken as spread over that time."""
         if call.window == self.window:
             others = total - self.current - call.amount
             mine = 0.0 if call.overdue else call.amount  # a late one's units are in the local bucket
@@ -198,16 +202,14 @@
     def lets_in(self, units: float, now: float) -> bool:
         """The emergency bucket: an even share of rate and burst."""
         if self.local is None:
-            rate, burst = self.plan.rate / self.spread, self.plan.burst / self.spread
-            level = burst - max(0.0, self.spell_at(now)) / self.spread
-            self.local = Bucket(rate, burst, level, now)
+            full = self.plan.rate, self.plan.burst, self.plan.burst - max(0.0, self.spell_at(now))
+            self.local = Bucket(*(units / self.spread for units in full), now)
         return self.local.take(units, now)
 
     def over(self, now: float) -> bool:
         """The design's estimate against the allowance, and the same allowance over the spell. Guards against
         the second burst that a window of any length lets through, where a burst is used at once."""
-        remaining = 1.0 - now % self.window_ms / self.window_ms
-        estimate = self.current + self.previous * remaining
+        estimate = self.current + self.previous * (1.0 - now % self.window_ms / self.window_ms)
         return estimate > self.allowance or self.spell > self.plan.burst + SPELL_SLACK
 
     def name(self, customer: Customer) -> int:
@@ -235,8 +237,8 @@
         self.ready, self.reach = [], []  # the ready hosts, and their registered sizes added up
         self.turn, self.mine, self.warm = -1, [], 0  # this turn: the cold hosts that are ours, the warm ones
         self.shared = False  # most hosts look bad at once
-        self.products = products
-        self.guess_ms = FIRST_GUESS * min(product.quoted_ms for product in products)
+        self.products, self.shortest_ms = products, min(product.quoted_ms for product in products)
+        self.guess_ms = FIRST_GUESS * self.shortest_ms
         self.pace = Ring(4000.0)  # answer times of tasks made mean ones, and answers, over all hosts
         self.load = Ring(4000.0)  # the same times, and the forwards they shared a host with
         self.sends = Ring(5000.0)  # first and further forwards
@@ -254,13 +256,13 @@
             host.size, host.make, host.zone, host.cell = seen.size, seen.make, seen.zone, seen.cell
             host.started_at, host.status = seen.started_at, seen.status
             self.known[host] = None
+        self.known = {host: None for host in self.known if host.status is not Status.GONE or host.health.outs}
         self.ready = [host for host in self.known if host.status is Status.READY]
         self.reach = list(accumulate(max(host.size, 1e-9) for host in self.ready))
         self.turn = -1
 
     def draw(self, hosts: list[Host]) -> Host:
-        """One at random; of all the ready ones each by its registered size, so that a host gets what it can
-        bear where there are too many gateways or hosts for a gateway's own counts to say much."""
+        """One at random; of all the ready ones by registered size, where our own counts say too little."""
         reach = self.reach if hosts is self.ready else range(1, len(hosts) + 1)
         return hosts[bisect(reach, self.chance(2**32) / 2**32 * reach[-1])]
 
@@ -269,8 +271,7 @@
         return zlib.crc32(b"%d/%d" % (self.seat.seed, self.draws)) % sides
 
     def size(self, *trait) -> float:
-        """How long tasks with this trait take, in mean tasks: by product and units, or by product alone;
-        there a task counts by its units, since the larger ones earn more and must come in time too."""
+        """How long tasks with this trait take, in mean tasks; by product alone a task counts by its units."""
         mean = self.sizes[()].mean(self.now, GUESS_WEIGHT, self.guess_ms)
         return self.sizes[trait].mean(self.now, GUESS_WEIGHT, mean) / mean if trait in self.sizes else 1.0
 
@@ -283,8 +284,7 @@
         return host.health.pace.mean(self.now, GUESS_WEIGHT, fleet) * (len(host.health.outs) + 1)
 
     def longest_queue(self, part: float) -> float:
-        """Guards against queues in which every answer comes too late, and hosts overdriven by them. All
-        products share a host, so it may be as slow as the product in most haste for its size bears."""
+        """Guards against queues that bring every answer too late: what the most hasty product bears."""
         return min(part * product.quoted_ms / self.size(product) for product in self.products)
 
     def earning(self, task: Task) -> float:
@@ -312,8 +312,7 @@
             self.mine = [host for host in cold if (turn + int(host.started_at)) % gateways == number]
 
     def bears(self, host: Host) -> bool:
-        """Guards against pushing over a cold host: in its turn at it a gateway sends what the proved part
-        would get of a warm host's share; where none is warm, each sends one at a time."""
+        """Guards against pushing over a cold host: the proved part of a warm share, else one at a time."""
         part = self.warmth(host)
         if part >= 1.0:
             return True
@@ -339,9 +338,8 @@
         return self.shared or (health.state == "trusted" and not self.silent(host))
 
     def pick(self, task: Task, hosts: list[Host], longest: float) -> Host | None:
-        """Of two drawn at random, the one this gateway's own counts favour. Where that one is too slow or
-        unfit, more are drawn, since a task should not be refused while another host has room. A cold host
-        whose turn it is comes first."""
+        """Of two drawn at random, the one our own counts favour. Where it is too slow or unfit, more are
+        drawn, since another host may have room. A cold host whose turn it is comes first."""
         self.take_turns()
         tried = [forward.host for forward in task.forwards] if len(hosts) > len(task.forwards) else []
         best, spurned, fit = None, None, 0
@@ -411,9 +409,8 @@
         health.failures, health.back_at = 0, self.now
 
     def tries(self, over: float) -> bool:
-        """Whether a host with no forward of ours is tried though answers are late elsewhere. Guards against
-        overload that a gateway cannot see whose forwards are few for its hosts: it tries by a chance that
-        falls with the lateness. Hurts where that is off."""
+        """Whether a host with no forward of ours is tried though answers are late: by a chance that falls
+        with the lateness. Guards against overload unseen for want of forwards. Hurts where that is off."""
         at_a_host = sum(self.sends.sums(self.now)) / 5000.0 * self.guess_ms / len(self.ready)
         return over < float("inf") and (at_a_host > ENOUGH or self.chance(1000) * over**2 < 1000)
 
@@ -447,11 +444,12 @@
 
     def counted(self, call: Call, ending: Ending, total: float) -> None:
         book, task = call.customer.book, call.task
-        told = ending is Ending.DONE
-        call.answered, call.landed = True, told or ending is Ending.RESET  # reset: added, but no total came
+        call.answered, told = True, ending is Ending.DONE
+        call.landed = told or ending is Ending.RESET  # reset: added, but no total came
         if book is not None:
             book.turn(self.now)
             if told:
+                self.breaker.times.add(self.now, self.now - call.sent_at, 1.0)
                 book.told(call, total, self.now)
             elif call.landed:
                 book.current += call.amount * (call.window == book.window)
@@ -472,8 +470,8 @@
         task = forward.task
         forward.ending = ending
         task.out -= 1
-        self.fleet.ended(forward, took_ms)
         task.customer.book.out -= 1
+        self.fleet.ended(forward, took_ms)
         if ending is Ending.DONE and units > 0:
             self.settle(task.call, units - task.units)
         advance(TASK, task, "served" if final else "lost", self)
@@ -510,13 +508,13 @@
         amount, book.debt = task.units - book.debt, 0.0
         task.call = self.call(task.customer, amount)
         task.call.task = task
-        self.door.wake(max(0.0, min(BUDGET_MS, (task.cutoff_at - self.now) / 2)), task.call)
+        budget = self.breaker.budget(BUDGET_MOST * self.fleet.shortest_ms)
+        self.door.wake(max(0.0, min(budget, (task.cutoff_at - self.now) / 2)), task.call)
         return None
 
     def stale(self, task: Task) -> bool:
-        """Guards a crowded counter against later tries that come when the quoted time is over: such a task
-        has less time left than most of its product have, by as much as its client has waited."""
-        product, left = task.product, int((task.cutoff_at - task.taken_at) // 50.0)
+        """Guards a crowded counter against tries past the quoted time, told by how little time they have."""
+        product, left = task.product, int(min(task.cutoff_at - task.taken_at, task.product.cutoff_ms) // 50.0)
         seen = self.lefts.setdefault(product, {})
         seen[left] = seen.get(left, 0) + 1
         usual = self.usual[product] = max(left, self.usual.get(product, left), key=seen.__getitem__)
@@ -536,8 +534,7 @@
             self.settle(call, -task.units)
 
     def settle(self, call: Call | None, units: float) -> None:
-        """Owe units to the name the task was counted under. They ride on the next add to it, so that refusals
-        do not crowd the counter, or are paid by a call of their own while the counter is calm."""
+        """Owe units to the name counted under: they ride on its next add, or go alone while all is calm."""
         book = call.customer.book if call is not None else None
         if book is not None and call.window == book.window and units:
             book.debt -= units
@@ -548,7 +545,7 @@
     def call(self, customer: Customer, amount: float) -> Call:
         book = customer.book
         life = min(LONGEST_NAME_MS, NAMES_LAST * book.window_ms)
-        call = Call(customer, book.name(customer), book.window, amount, life)
+        call = Call(customer, book.name(customer), book.window, amount, life, self.now)
         self.door.count(call)
         return call
 
@@ -603,8 +600,7 @@
             self.door.wake(PATIENCE * mean, forward)
 
     def pull(self, task: Task) -> None:
-        """Guards against hosts that hang, vanish or lose answers: where one has answered nothing since it got
-        the task, the forward is withdrawn, and its ending sends the task elsewhere. Others are only slow."""
+        """Guards against hosts that hang, vanish or lose answers: none since. Others are only slow."""
         forward = task.forwards[-1]
         if forward.host.health.answered_at > forward.sent_at:
             self.watch(forward)
--- a/granitedock/policy/interface.py
+++ b/granitedock/policy/interface.py
@@ -159,6 +159,7 @@
     window: int
     amount: float
     life_ms: float
+    sent_at: float
     task: Task | None = None
     overdue: bool = False
     answered: bool = False
