Gone hosts, rested books and wakes called off are forgotten; the longest rested lane first

A connection on which nothing is said now ends without a word, which a crossing task might take for its answer.

--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -430,7 +430,7 @@
         self.breaker = Breaker(door.log)
         self.lefts, self.usual = {}, {}  # how often each time left was seen, and the most usual, by product
         self.fleet = Fleet(now, seat, goods, cold, door.log)
-        self.books: dict[Customer, None] = {}  # the longest untouched first
+        self.books: dict[Customer, None] = {}  # the longest not looked at first
 
     def at(self, now: float) -> None:
         self.now = self.fleet.now = self.breaker.now = now
@@ -558,16 +558,18 @@
         self.books[customer] = None
         customer.book.touched_at = self.now
         oldest = next(iter(self.books))
-        if self.now - oldest.book.touched_at > LONGEST_NAME_MS and not oldest.book.out:
-            del self.books[oldest]
+        del self.books[oldest]  # one look a task; a book at rest is as good as a new one, but for its ceiling
+        life = LONGEST_NAME_MS if oldest.book.ceiling else 2.0 * oldest.book.window_ms
+        if self.now - oldest.book.touched_at > life and not oldest.book.out:
             oldest.book = None
+        else:
+            self.books[oldest] = None
         return customer.book
 
     def place(self, task: Task) -> str:
         book = task.customer.book
         quoted_left = min(task.taken_at + task.product.quoted_ms, task.cutoff_at) - self.now
-        call = task.call
-        sure = task.plan.rate <= 0 or (call is not None and call.landed and not call.overdue)
+        sure = task.plan.rate <= 0 or (task.call is not None and task.call.landed and not task.call.overdue)
         part = TOO_LATE if sure or self.breaker.state == "open" else TOO_LATE_UNSURE
         longest = self.fleet.longest_queue(part) * self.fleet.earning(task)
         host = self.fleet.pick(task, self.allowed(task), longest)
--- a/granitedock/policy/interface.py
+++ b/granitedock/policy/interface.py
@@ -118,7 +118,7 @@
     health: Any = None  # the decisions' own notes on this host
 
 
-@dataclass(eq=False)
+@dataclass(eq=False, slots=True, weakref_slot=True)
 class Customer:
     key: int
     book: Any = None  # the decisions' own notes on this customer
--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -101,6 +101,10 @@
     name: str | None
     what: tuple
 
+    def off(self) -> None:
+        """Guards the memory: what it would have told, with all its bytes, is not kept until it is due."""
+        self.name, self.what = None, ()
+
 
 @dataclass(eq=False, slots=True)
 class Reply:
@@ -459,7 +463,9 @@
             return
         ready = []
         while queue and queue[0].answer is not None:
-            ready.append(queue.popleft().answer)
+            first = queue.popleft()
+            ready.append(first.answer)
+            first.answer = b""
         data = b"".join(ready)
         self.held -= len(data)
         caller.rested_at = self.now
@@ -485,7 +491,7 @@
         self.held -= errand.size
         errand.size = 0
         if errand.alarm is not None:
-            errand.alarm.name = None
+            errand.alarm.off()
 
     # The door of the decisions.
 
@@ -493,7 +499,7 @@
         place, errand = forward.host, forward.task
         stop_at = min(stop_at or errand.cutoff_at, errand.cutoff_at)
         self.counts["forwards"] += 1
-        for lane in reversed(place.idle):
+        for lane in place.idle:  # the longest at rest first: who closes on us does so soon after an answer
             if self.limits.settle_ms <= self.now - lane.idle_since < self.limits.host_idle_ms:
                 place.idle.remove(lane)
                 lane.forward, lane.stop_at = forward, stop_at
@@ -548,7 +554,7 @@
         """The module would ignore this wake now, so nobody need be woken for it."""
         wake = self.wakes.pop(why, None)
         if wake is not None:
-            wake.name = None
+            wake.off()
 
     def log(self, line: str) -> None:
         self.diary.event("decision", line=line)
@@ -596,7 +602,8 @@
     def dial_anew(self, lane: Lane) -> None:
         self.counts["host_stale"] += 1
         self.do(lane.link.abort)
-        forward, lane.forward, lane.alarm.name = lane.forward, None, None
+        lane.alarm.off()
+        forward, lane.forward = lane.forward, None
         self.dial(lane.place, forward, lane.stop_at)
 
     def late(self, lane: Lane, forward: Forward) -> None:
@@ -607,7 +614,7 @@
         self, forward: Forward, ending: Ending, data: bytes = b"", units: float = 0.0, used: int = 0
     ) -> None:
         """A forward has its one outcome. An answer for a task that is over goes nowhere."""
-        self.lanes.pop(forward).alarm.name = None
+        self.lanes.pop(forward).alarm.off()
         self.call_off(forward)
         errand = forward.task
         self.counts["forward_" + ending.value] += 1
@@ -839,6 +846,8 @@
         for entry in listing.entries:
             place = self.places.get(entry.name)
             if place is None:
+                if entry.status is Status.GONE:
+                    continue
                 place = self.places[entry.name] = Place(address=entry.address)
             if entry.started_at > place.started_at or (entry.address and entry.address != place.address):
                 place.address = entry.address or place.address
@@ -849,9 +858,11 @@
                 )
             )
         self.gateway.roster(sightings, listing.whole)
-        for place in self.places.values():
+        for name, place in list(self.places.items()):
             if place.idle and place.status is not Status.READY:
                 self.suspect(place)
+            if place.status is Status.GONE and not place.health.outs:
+                del self.places[name]  # guards the memory, as hosts come and go under new names
 
     # A new file.
 
@@ -907,10 +918,7 @@
             patience = limits.rest_ms if caller.spoke else limits.half_ms
             if caller.queue or now - caller.rested_at <= patience:
                 return
-            if caller.spoke:
-                self.hang_up(caller)
-            else:
-                self.malformed(caller, "nothing said")
+            self.hang_up(caller)  # no word, which a task on its way might take for its answer
         elif not caller.half_since:
             caller.half_since = now
         elif now - caller.half_since > limits.half_ms:
