--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -16,7 +16,7 @@
 from granitedock.ring import Ring
 
 BUDGET_MS = 20.0  # the design's budget of a call to the counter
-BUDGET_MEANS, BUDGET_MOST = 3.0, 0.1  # mean times, where that is more; of the shortest quoted time
+BUDGET_MEANS, BUDGET_MOST = 3.0, 0.25  # mean times, where that is more; of the quoted time
 BREAKER_FAILURES, QUARANTINE_MS = 5, 1500.0  # in a row open the breaker; then one trial call
 CALM_MS = 5000.0  # without a failed call before the counter has room for calls that can wait
 RATION_LESS, RATION_MORE, LEAST_RATION = 0.8, 0.03, 0.1  # of the tasks counted: after a failure, a success
@@ -237,8 +237,8 @@
         self.ready, self.reach = [], []  # the ready hosts, and their registered sizes added up
         self.turn, self.mine, self.warm = -1, [], 0  # this turn: the cold hosts that are ours, the warm ones
         self.shared = False  # most hosts look bad at once
-        self.products, self.shortest_ms = products, min(product.quoted_ms for product in products)
-        self.guess_ms = FIRST_GUESS * self.shortest_ms
+        self.products = products
+        self.guess_ms = FIRST_GUESS * min(product.quoted_ms for product in products)
         self.pace = Ring(4000.0)  # answer times of tasks made mean ones, and answers, over all hosts
         self.load = Ring(4000.0)  # the same times, and the forwards they shared a host with
         self.sends = Ring(5000.0)  # first and further forwards
@@ -508,7 +508,7 @@
         amount, book.debt = task.units - book.debt, 0.0
         task.call = self.call(task.customer, amount)
         task.call.task = task
-        budget = self.breaker.budget(BUDGET_MOST * self.fleet.shortest_ms)
+        budget = self.breaker.budget(BUDGET_MOST * task.product.quoted_ms)
         self.door.wake(max(0.0, min(budget, (task.cutoff_at - self.now) / 2)), task.call)
         return None
 
