--- a/granitedock/service/clients.py
+++ b/granitedock/service/clients.py
@@ -168,6 +168,12 @@
         self.transport.resumeProducing()
         self.transport.loseWriteConnection()
 
+    def end(self) -> None:
+        """For one at rest, that has long read what was written: its descriptor is free at once."""
+        self.deaf = True
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
     def abort(self) -> None:
         self.deaf = True
         self.transport.abortConnection()
--- a/granitedock/service/limits.py
+++ b/granitedock/service/limits.py
@@ -11,6 +11,7 @@
 
 KIB = 1024
 MIB = 1024 * KIB
+PROCESS = 26 * MIB  # the process itself, with its connections and notes
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +80,7 @@
             whole=68 * KIB,
             line=KIB,
             document=4 * MIB,
-            held=int(memory / 4),
+            held=int(max(memory / 32, (memory - PROCESS) / 4)),
             unread=256 * KIB,
             items=64,
             depth=4,
@@ -116,5 +117,5 @@
             ready_ms=1000.0,
             open_ms=500.0,
             leave_ms=min(longest, 3000.0) + 550.0,
-            sweep_ms=500.0,
+            sweep_ms=100.0,
         )
--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -319,7 +319,7 @@
         ]
         for caller in sorted(idle, key=lambda caller: (caller.spoke, caller.rested_at))[:most]:
             if caller.spoke:
-                self.hang_up(caller)
+                self.part_with(caller)
             else:
                 self.do(caller.link.look)
 
@@ -361,6 +361,11 @@
         caller.state, caller.closing_since = "closing", self.now
         self.do(caller.link.close)
 
+    def part_with(self, caller: Caller) -> None:
+        self.counts["client_links_rested"] += 1
+        caller.state, caller.closing_since = "closing", self.now
+        self.do(caller.link.end)
+
     def command(self, caller: Caller, name: bytes) -> None:
         if caller.state != "up" or self.crowded(caller):
             return
@@ -918,7 +923,7 @@
             patience = limits.rest_ms if caller.spoke else limits.half_ms
             if caller.queue or now - caller.rested_at <= patience:
                 return
-            self.hang_up(caller)  # no word, which a task on its way might take for its answer
+            self.part_with(caller)  # no word, which a task on its way might take for its answer
         elif not caller.half_since:
             caller.half_since = now
         elif now - caller.half_since > limits.half_ms:
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -144,6 +144,9 @@
     def loseWriteConnection(self):
         self.closed = self.closed or "closed"
 
+    def loseConnection(self):
+        self.closed = self.closed or "ended"
+
     def abortConnection(self):
         self.closed = self.closed or "aborted"
 
