--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -393,7 +393,7 @@
 
 def test_more_than_the_memory_holds_is_deferred_and_more_than_the_sockets_hold_makes_room():
     wired, lines, client = begun(memory_mb=27)
-    for _ in range(6):
+    for _ in range(15):
         wired.ask(client, product="once", body=(60000 * b"x",))
     assert client.took() == b""  # it waits behind the first ones
     assert wired.counts["deferred"] == 1
