Only late and turned away calls cut the part that is counted, not connections that break

A reset says nothing of a crowd. It still counts as a failure of the breaker. Endings of calls told apart for that: error is added without a total, reset may have been added, and what the counter answers with -ERR was never added.

Should hold against any cut connection; hurts where a counter sheds load by closing.

--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -20,8 +20,7 @@
 BREAKER_FAILURES, QUARANTINE_MS = 5, 1500.0  # in a row open the breaker; then one trial call
 CALM_MS = 5000.0  # without a failed call before the counter has room for calls that can wait
 RATION_LESS, RATION_MORE, LEAST_RATION = 0.8, 0.03, 0.1  # of the tasks counted: after a failure, a success
-WINDOW_OF_BURST = 2.0  # a window is as long as the rate needs to fill the burst, this many times
-SPELL_SLACK = 0.5  # units a spell may pass the burst by, for the calls' own delays
+WINDOW_OF_BURST, SPELL_SLACK = 2.0, 0.5  # fillings of the burst in a window; units past it, for delays
 LONGEST_NAME_MS, NAMES_LAST = 60000.0, 3.0  # the counter's longest life of a name; windows a name lasts
 HOST_FAILURES, ASIDE_MS = 3, 3000.0  # in a row set a host aside; then one trial task
 SILENT_AFTER, FAIR_TIME = 4.0, 2.0  # mean answer times: no sign of life; a shorter time-out proves nothing
@@ -144,9 +143,12 @@
         """Guards against a counter only slower than assumed. Hurts where the wait makes tasks late."""
         return max(BUDGET_MS, min(most, BUDGET_MEANS * self.times.mean(self.now, 1.0, 0.0)))
 
+    def cut(self) -> None:
+        """Late and turned away calls say that the counter is crowded; connections that break do not."""
+        self.failed_at, self.ration = self.now, max(LEAST_RATION, RATION_LESS * self.ration)
+
     def tally(self, _self) -> str | None:
-        self.failures, self.failed_at = self.failures + 1, self.now
-        self.ration = max(LEAST_RATION, RATION_LESS * self.ration)
+        self.failures += 1
         return "tripped" if self.failures >= BREAKER_FAILURES else None
 
     def quarantine(self, _self) -> None:
@@ -169,8 +171,7 @@
         self.spell, self.seen_at = 0.0, now  # units used in this spell beyond what the rate has paid
         self.debt, self.out, self.touched_at = 0.0, 0, now  # the debt: units owed back to the current name
         self.local: Bucket | None = None  # the emergency bucket, while the counter gives no answers
-        # A ceiling is held by an even share that starts as low as the slack allows: a gateway cannot tell
-        # a restart from a first start, and one of every gateway of the set passes it by half the slack.
+        # A ceiling's share starts as low as the slack allows: no restart can be told from a first start.
         full = plan.ceiling_rate, plan.ceiling_burst, plan.ceiling_slack / 2
         self.ceiling = Bucket(*(units / self.spread for units in full), now) if full[0] > 0 else None
 
@@ -207,8 +208,7 @@
         return self.local.take(units, now)
 
     def over(self, now: float) -> bool:
-        """The design's estimate against the allowance, and the same allowance over the spell. Guards against
-        the second burst that a window of any length lets through, where a burst is used at once."""
+        """The design's estimate, and the same over the spell, against a second burst in any window."""
         estimate = self.current + self.previous * (1.0 - now % self.window_ms / self.window_ms)
         return estimate > self.allowance or self.spell > self.plan.burst + SPELL_SLACK
 
@@ -377,8 +377,7 @@
             health.refuses[task.plan] = self.now + ASIDE_MS
             for pace in (health.pace, self.load):
                 pace.add(self.now, task.product.quoted_ms, 1.0)
-        hurried = ending is Ending.TIMEOUT and took_ms < FAIR_TIME * self.mean_answer()
-        if hurried or ending is Ending.MOOT:
+        if ending is Ending.MOOT or (ending is Ending.TIMEOUT and took_ms < FAIR_TIME * self.mean_answer()):
             signal = "unproved"  # a client in a hurry says nothing of the host
         elif ending in (Ending.DONE, Ending.TIMEOUT, Ending.WITHDRAWN):
             took_ms = took_ms if ending is Ending.DONE else min(took_ms, task.product.quoted_ms)
@@ -430,14 +429,12 @@
         self.breaker = Breaker(door.log)
         self.lefts, self.usual = {}, {}  # how often each time left was seen, and the most usual, by product
         self.fleet = Fleet(now, seat, goods, cold, door.log)
+        self.roster = self.fleet.roster
         self.books: dict[Customer, None] = {}  # the longest not looked at first
 
     def at(self, now: float) -> None:
         self.now = self.fleet.now = self.breaker.now = now
 
-    def roster(self, sightings: list[Sighting], whole: bool) -> None:
-        self.fleet.roster(sightings, whole)
-
     def take(self, task: Task) -> None:
         self.book(task).turn(self.now)
         advance(TASK, task, "arrived", self)
@@ -445,7 +442,7 @@
     def counted(self, call: Call, ending: Ending, total: float) -> None:
         book, task = call.customer.book, call.task
         call.answered, told = True, ending is Ending.DONE
-        call.landed = told or ending is Ending.RESET  # reset: added, but no total came
+        call.landed = told or ending is Ending.ERROR  # error: added, but no total came
         if book is not None:
             book.turn(self.now)
             if told:
@@ -453,13 +450,15 @@
                 book.told(call, total, self.now)
             elif call.landed:
                 book.current += call.amount * (call.window == book.window)
-            elif ending is not Ending.TIMEOUT and call.window == book.window:
+            elif ending in NEVER_RAN and call.window == book.window:
                 book.debt += (task.units if task is not None else 0.0) - call.amount  # proved not added
         if task is None:
             return
         if call.landed and task.state == "over" and not task.forwards:
             self.settle(call, -task.units)  # late, or the client left: it never went out; else they stay
         if not call.overdue:
+            if ending in NEVER_RAN or ending is Ending.TIMEOUT:
+                self.breaker.cut()
             self.breaker.tell("succeeded" if told else "failed")
             verdict = ("over" if book.over(self.now) else "within") if told else "unanswered"
             advance(TASK, task, verdict, self)
@@ -489,6 +488,7 @@
                 advance(TASK, why.task, "stuck", self)
         elif not why.answered and not why.overdue:
             why.overdue = True
+            self.breaker.cut()
             self.breaker.tell("failed")
             advance(TASK, why.task, "unanswered", self)
 
--- a/granitedock/policy/interface.py
+++ b/granitedock/policy/interface.py
@@ -30,7 +30,8 @@
 
 
 class Ending(Enum):
-    """How a forward or a call to the counter ended."""
+    """How a forward or a call to the counter ended. A call that ended by error was added, and no total came;
+    one that ended by reset may have been."""
 
     DONE = "done"
     ERROR = "error"
--- a/granitedock/service/counter.py
+++ b/granitedock/service/counter.py
@@ -59,7 +59,7 @@
         elif word == b"BUSY":
             self.tell("counter answered", self.record, Ending.FULL, 0.0)
         elif word == b"ERR":
-            self.tell("counter answered", self.record, Ending.ERROR, 0.0)
+            self.tell("counter answered", self.record, Ending.UNREACHED, 0.0)  # no such call: nothing added
         else:
             self.spoil("no answer to a call")
 
--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -752,8 +752,8 @@
         if call is not None:
             self.counts["call_spoilt"] += 1
             self.call_off(call)
-            self.inbox.append((self.gateway.counted, call, Ending.RESET, 0.0))
-        self.lost(wire, Ending.TIMEOUT)
+            self.inbox.append((self.gateway.counted, call, Ending.ERROR, 0.0))
+        self.lost(wire, Ending.RESET)
 
     def flush(self, wire: Wire) -> None:
         wire.heard_at = self.now
@@ -765,7 +765,7 @@
         self.lost(wire, Ending.UNREACHED)
 
     def unknown(self, wire: Wire) -> None:
-        self.lost(wire, Ending.TIMEOUT)
+        self.lost(wire, Ending.RESET)
 
     def close_old(self, wire: Wire) -> None:
         self.old_wires.pop(wire, None)
@@ -773,7 +773,7 @@
 
     def unknown_abort(self, wire: Wire) -> None:
         self.do(wire.link.abort)
-        self.lost(wire, Ending.TIMEOUT)
+        self.lost(wire, Ending.RESET)
 
     def lost(self, wire: Wire, ending: Ending) -> None:
         for call in wire.waiting:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -120,6 +120,16 @@
     assert len(story.lines) == 3  # one line for each change of mode
 
 
+def test_connections_to_the_counter_that_break_say_nothing_of_a_crowd():
+    story = Story(hosts=12)
+    for step in range(40):
+        task = story.ask(customer=Customer(step))
+        story.counter(Ending.RESET if step % 2 else Ending.DONE)
+        assert len(task.forwards) == 1
+        story.ends(Ending.DONE)
+    assert len(story.calls) == 40 and story.gateway.breaker.calm()
+
+
 def test_the_emergency_bucket_gives_an_even_share():
     story, customer = Story(), Customer(5)
     for _ in range(30):
