--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -17,12 +17,12 @@
 
 BUDGET_MS = 20.0  # the design's budget of a call to the counter
 BUDGET_MEANS, BUDGET_MOST = 3.0, 0.25  # mean times, where that is more; of the quoted time
-BREAKER_FAILURES, QUARANTINE_MS = 5, 1500.0  # in a row open the breaker; then one trial call
-CALM_MS = 5000.0  # without a failed call before the counter has room for calls that can wait
+BREAKER_FAILURES, QUARANTINE = 5, 1.5  # in a row open the breaker; shortest quoted times, then one trial
+CALM = 5.0  # shortest quoted times without a failed call before the counter has room for calls that can wait
 RATION_LESS, RATION_MORE, LEAST_RATION = 0.8, 0.03, 0.1  # of the tasks counted: after a failure, a success
 WINDOW_OF_BURST, SPELL_SLACK = 2.0, 0.5  # fillings of the burst in a window; units past it, for delays
 LONGEST_NAME_MS, NAMES_LAST = 60000.0, 3.0  # the counter's longest life of a name; windows a name lasts
-HOST_FAILURES, ASIDE_MS = 3, 3000.0  # in a row set a host aside; then one trial task
+HOST_FAILURES, ASIDE = 3, 3.0  # in a row set a host aside; quoted times, then one trial task
 SILENT_AFTER, FAIR_TIME = 4.0, 2.0  # mean answer times: no sign of life; a shorter time-out proves nothing
 PATIENCE = 3.0  # mean answer times before a forward at a silent host is withdrawn to be made again
 DRAWS = 12  # hosts looked at for one task at most, however large the fleet
@@ -114,10 +114,10 @@
 class Breaker:
     """The design's breaker round the counter; only a genuine success in time resets it."""
 
-    def __init__(self, log) -> None:
+    def __init__(self, quoted_ms: float, log) -> None:
         self.state, self.failures, self.until, self.now, self.log = "closed", 0, 0.0, 0.0, log
         self.failed_at, self.ration, self.credit = float("-inf"), 1.0, 1.0
-        self.times = Ring(10000.0)  # of calls that were answered, late ones too
+        self.quarantine_ms, self.calm_ms, self.times = QUARANTINE * quoted_ms, CALM * quoted_ms, Ring(10000.0)
 
     def tell(self, signal: str) -> None:
         before = self.state
@@ -137,7 +137,7 @@
 
     def calm(self) -> bool:
         """All tasks are counted, and no call failed for a while: there is room for calls that can wait."""
-        return self.ration >= 1.0 and self.now - self.failed_at > CALM_MS
+        return self.ration >= 1.0 and self.now - self.failed_at > self.calm_ms
 
     def budget(self, most: float) -> float:
         """Guards against a counter only slower than assumed. Hurts where the wait makes tasks late."""
@@ -152,7 +152,7 @@
         return "tripped" if self.failures >= BREAKER_FAILURES else None
 
     def quarantine(self, _self) -> None:
-        self.until = self.now + QUARANTINE_MS
+        self.until = self.now + self.quarantine_ms
 
     def reset(self, _self) -> None:
         self.failures, self.ration = 0, min(1.0, self.ration + RATION_MORE)
@@ -237,8 +237,8 @@
         self.ready, self.reach = [], []  # the ready hosts, and their registered sizes added up
         self.turn, self.mine, self.warm = -1, [], 0  # this turn: the cold hosts that are ours, the warm ones
         self.shared = False  # most hosts look bad at once
-        self.products = products
-        self.guess_ms = FIRST_GUESS * min(product.quoted_ms for product in products)
+        self.products, self.quoted_ms = products, min(product.quoted_ms for product in products)
+        self.guess_ms = FIRST_GUESS * self.quoted_ms
         self.pace = Ring(4000.0)  # answer times of tasks made mean ones, and answers, over all hosts
         self.load = Ring(4000.0)  # the same times, and the forwards they shared a host with
         self.sends = Ring(5000.0)  # first and further forwards
@@ -374,7 +374,7 @@
         if ending is Ending.FULL:
             # Guards against hosts that refuse for want of room, or one plan's tasks only: that plan's go
             # elsewhere for a while. Hurts where there is room sooner than that.
-            health.refuses[task.plan] = self.now + ASIDE_MS
+            health.refuses[task.plan] = self.now + ASIDE * self.quoted_ms
             for pace in (health.pace, self.load):
                 pace.add(self.now, task.product.quoted_ms, 1.0)
         if ending is Ending.MOOT or (ending is Ending.TIMEOUT and took_ms < FAIR_TIME * self.mean_answer()):
@@ -399,7 +399,7 @@
         return "tripped" if health.failures >= HOST_FAILURES else None
 
     def set_aside(self, health: Health) -> None:
-        health.until = self.now + ASIDE_MS
+        health.until = self.now + ASIDE * self.quoted_ms
 
     def clear(self, health: Health) -> None:
         health.failures = 0
@@ -426,9 +426,9 @@
         self, door: Door, now: float, seat: Seat, goods: list, leave: Leave, cold: Cold, counter: bool
     ) -> None:
         self.door, self.now, self.leave, self.has_counter = door, now, leave, counter
-        self.breaker = Breaker(door.log)
         self.lefts, self.usual = {}, {}  # how often each time left was seen, and the most usual, by product
         self.fleet = Fleet(now, seat, goods, cold, door.log)
+        self.breaker = Breaker(self.fleet.quoted_ms, door.log)
         self.roster = self.fleet.roster
         self.books: dict[Customer, None] = {}  # the longest not looked at first
 
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -38,13 +38,13 @@
 class Story:
     """A gateway, the door it acts on, and what came out of it."""
 
-    def __init__(self, hosts=3, number=0, gateways=2, copies=False, at=100000.0, **cold):
+    def __init__(self, hosts=3, number=0, gateways=2, copies=False, at=100000.0, products=None, **cold):
         self.forwards, self.deferred, self.errored, self.calls = [], [], [], []
         self.wakes, self.withdrawn, self.lines, self.stops = [], [], [], []
         self.hosts = [Host() for _ in range(hosts)]
         leave = Leave(3, copies, True, True, 2000)
         coldness = Cold(0.2, 10000, 2, 1000)
-        products = [READ, STAMPED, BY_ZONE, ONE_SHOT]
+        products = products or [READ, STAMPED, BY_ZONE, ONE_SHOT]
         self.gateway = Gateway(self, at, Seat(7, number, gateways), products, leave, coldness, True)
         self.roster(Status.READY, *self.hosts, **cold)
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -1,5 +1,7 @@
 """One short story for each failure met, against the fake host of tests/fakehost.py."""
 
+from dataclasses import replace
+
 from fakehost import BY_ZONE, CAPPED, FEW_OUT, ONE_SHOT, PLAN, READ, STAMPED, Story
 
 from granitedock.policy.interface import Customer, Ending, Status
@@ -475,3 +477,20 @@
     assert len(story.forwards) > 190
     light = story.gateway.fleet.size(READ, 1)
     assert story.gateway.fleet.size(STAMPED, 1) > 2 * light
+
+
+def test_waits_are_in_quoted_times_so_that_a_deployment_in_more_haste_tries_again_sooner():
+    for product, wait in (READ, 1500), (replace(READ, quoted_ms=200), 300):
+        story = Story(hosts=12, products=(product,))
+        story.pass_ms(0)
+        for step in range(20):
+            story.ask(product, customer=Customer(step))
+            if not story.calls[-1].answered:
+                story.counter(Ending.UNREACHED)
+        assert len(story.calls) == 5 and story.gateway.breaker.state == "open"
+        story.pass_ms(wait - 10)
+        story.ask(product)
+        assert len(story.calls) == 5  # not yet
+        story.pass_ms(10)
+        story.ask(product)
+        assert len(story.calls) == 6
