--- a/granitedock/service/limits.py
+++ b/granitedock/service/limits.py
@@ -43,6 +43,7 @@
     # Times, in milliseconds.
     connect_ms: float
     host_idle_ms: float  # a connection to a host is closed when idle so long, before the host does
+    wary_ms: float  # kept ones are not trusted with what can't be repeated, after one was cut in use
     settle_ms: float  # and used again no sooner after an answer, for what may follow behind
     answer_ms: float  # an answer begun and not ended
     total_ms: float  # and one of the counter, which is a line
@@ -100,6 +101,7 @@
             true_units=units if special.get("TruedUp") else 0.0,
             connect_ms=float(allowed.get("ConnectTimeoutMs") or 250.0),
             host_idle_ms=float(allowed.get("ConnIdleMs") or 15000.0) / 2,
+            wary_ms=5000.0,
             settle_ms=5.0,
             answer_ms=250.0,
             total_ms=50.0,
--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -159,6 +159,7 @@
     link: Any = None
     idle_since: float = 0.0
     alarm: Wake | None = None
+    kept: bool = False  # it has carried a forward before
 
 
 @dataclass(eq=False, slots=True)
@@ -211,7 +212,7 @@
         self.places: dict[str, Place] = {}
         self.lanes: dict[Forward, Lane] = {}
         self.wakes: dict[object, Wake] = {}
-        self.host_links = 0
+        self.host_links, self.cut_at = 0, float("-inf")  # open and dialled; when a kept one was cut in use
         self.wires: list[Wire | None] = [None] * limits.counter_links
         self.old_wires: dict[Wire, None] = {}
         self.watch = Watch(0)
@@ -504,10 +505,14 @@
         place, errand = forward.host, forward.task
         stop_at = min(stop_at or errand.cutoff_at, errand.cutoff_at)
         self.counts["forwards"] += 1
-        for lane in place.idle:  # the longest at rest first: who closes on us does so soon after an answer
+        # Guards against kept connections that are cut at their next use: a task that may not be sent again gets
+        # one of its own while that has been seen of late. Hurts by a handshake. Else the longest at rest goes
+        # first: who closes on us does so soon after an answer.
+        wary = errand.product.kind is Kind.ONE_SHOT and self.now - self.cut_at < self.limits.wary_ms
+        for lane in () if wary else place.idle:
             if self.limits.settle_ms <= self.now - lane.idle_since < self.limits.host_idle_ms:
                 place.idle.remove(lane)
-                lane.forward, lane.stop_at = forward, stop_at
+                lane.forward, lane.stop_at, lane.kept = forward, stop_at, True
                 self.lanes[forward] = lane
                 lane.alarm = self.wake_at(stop_at, "late", lane, forward)
                 advance(HOST_LINK, lane, "needed", self)
@@ -654,6 +659,8 @@
         self.part(lane, Ending.UNREACHED)
 
     def broken(self, lane: Lane) -> None:
+        if lane.kept:
+            self.cut_at = self.now
         self.part(lane, Ending.RESET)
 
     def broke_off(self, lane: Lane) -> None:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -189,6 +189,23 @@
     assert client.took() == b"-ERR failed\r\n"  # and after that byte it may have run
 
 
+def test_what_may_not_run_twice_takes_no_kept_connection_after_one_was_cut_in_use():
+    wired, lines, client = begun(hosts=1)
+    [kept] = quick(wired, lines, client, 1)
+    wired.ask(client, product="once")
+    counted(wired, lines)
+    kept.link.connectionLost()
+    assert client.took() == b"-ERR failed\r\n"
+    for wait, anew in (10, True), (10, True), (4990, False):
+        wired.now += wait
+        wired.ask(client, product="once")
+        counted(wired, lines)
+        assert bool(wired.dials) == anew
+        kept = wired.comes_up() if anew else kept
+        kept.link.dataReceived(VALUE)
+        assert client.took() == VALUE
+
+
 def test_a_refused_dial_sends_the_task_on_and_all_refused_defer_it():
     wired, lines, client = begun()
     wired.ask(client, product="once")
