--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -505,9 +505,9 @@
         place, errand = forward.host, forward.task
         stop_at = min(stop_at or errand.cutoff_at, errand.cutoff_at)
         self.counts["forwards"] += 1
-        # Guards against kept connections that are cut at their next use: a task that may not be sent again gets
-        # one of its own while that has been seen of late. Hurts by a handshake. Else the longest at rest goes
-        # first: who closes on us does so soon after an answer.
+        # Guards against kept connections that are cut at their next use: a task that may not be sent again
+        # gets one of its own while that has been seen of late. Hurts by a handshake. Else the longest at rest
+        # goes first: who closes on us does so soon after an answer.
         wary = errand.product.kind is Kind.ONE_SHOT and self.now - self.cut_at < self.limits.wary_ms
         for lane in () if wary else place.idle:
             if self.limits.settle_ms <= self.now - lane.idle_since < self.limits.host_idle_ms:
