A counter that is away is dialled by calls and twice a second, no longer in a growing storm

Line at fault: Reducer.lost asks for a further dial after each that failed, also after those that a call has made.

--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -215,6 +215,7 @@
         self.host_links, self.cut_at = 0, float("-inf")  # open and dialled; when a kept one was cut in use
         self.wires: list[Wire | None] = [None] * limits.counter_links
         self.old_wires: dict[Wire, None] = {}
+        self.redials: set[int] = set()  # numbers of connections to the counter that will be dialled again
         self.watch = Watch(0)
         self.known = known
         self.gateway = birth.gateway(self, now, seed, born, list(self.products.values()))
@@ -792,7 +793,15 @@
         self.old_wires.pop(wire, None)
         if self.wires[wire.number] is wire:
             self.wires[wire.number] = None
-            self.wake_at(self.now + 5 * self.limits.redial_ms, "counter due", wire.number)
+            if wire.number not in self.redials:
+                # Guards against a storm of dials while the counter is away: a call dials too, and each dial
+                # that failed would bring one more.
+                self.redials.add(wire.number)
+                self.wake_at(self.now + 5 * self.limits.redial_ms, "counter due", wire.number)
+
+    def wire_due(self, number: int) -> None:
+        self.redials.discard(number)
+        self.wire(number)
 
     def replace(self, wire: Wire) -> None:
         """Guards against a connection that has gone silent, by death or by a long queue, and against a
@@ -967,7 +976,7 @@
     "counter spoilt": Reducer.counter_spoilt,
     "counter begun": Reducer.counter_begun,
     "counter stalled": Reducer.counter_stalled,
-    "counter due": Reducer.wire,
+    "counter due": Reducer.wire_due,
     "watch up": Reducer.watch_up,
     "watch down": lambda self, watch: self.watch_signal(watch, "down"),
     "watch due": Reducer.watch_due,
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -371,6 +371,23 @@
     assert len(wired.dials) == 1
 
 
+def test_a_counter_that_is_away_is_dialled_by_calls_and_twice_a_second_and_no_more():
+    wired, lines, client = begun()
+    for line in lines:
+        line.link.connectionLost()
+    dials = calls = 0
+    for _ in range(100):
+        before = wired.counts["calls"]
+        wired.ask(wired.client(), customer=int(wired.now))
+        calls += wired.counts["calls"] - before
+        wired.pass_ms(100)
+        for at in reversed(range(len(wired.dials))):
+            if wired.dials[at][2] == "counter down":
+                dials += 1
+                wired.fails(at)
+    assert dials <= calls + 20 * len(lines)
+
+
 def test_a_watch_without_its_line_opens_again_from_where_it_was():
     wired, _, _ = begun()
     wired.pass_ms(4000)
