A task's time counts from when it may have come, not from when it was read

No forgotten task was logged: our backstop was simply set too late.

Change: the reducer counts a task's cut-off, and so its backstop, from the earliest moment it may have come: while starting, when the process began (granitedock.BEGAN_MS); else the end of the loop's poll before the one that read it (serve.TimedPoller). Two stories in test_service.py lose the task without this (nothing by the client's end) and answer it with it.

--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -197,6 +197,9 @@
         diary: Any,
     ) -> None:
         self.limits, self.doors, self.diary, self.now = limits, doors, diary, now
+        # The earliest moment at which what is read in this turn may have come: the start of the loop's wait
+        # before the one that ended this turn, or, while starting, when the process began (see `asked`).
+        self.began_at = self.since = now
         self.counts: Counter[str] = diary.counts
         self.effects: list[tuple] = []
         self.inbox: deque[tuple] = deque()
@@ -220,9 +223,11 @@
         self.known = known
         self.gateway = birth.gateway(self, now, seed, born, list(self.products.values()))
 
-    def reduce(self, now: float, name: str, *what: Any) -> list[tuple]:
-        """One input, with all that follows from it here."""
+    def reduce(self, now: float, name: str, *what: Any, since: float | None = None) -> list[tuple]:
+        """One input, with all that follows from it here. `since`, in Unix ms, is the earliest moment at which
+        what this input brings may have come; None is now."""
         self.now = now
+        self.since = now if since is None else min(since, now)
         self.gateway.at(now)
         INPUTS[name](self, *what)
         while self.inbox:
@@ -427,7 +432,13 @@
         if customer is None:
             customer = self.customers[ask.customer] = Customer(ask.customer)
         left_ms = min(ask.left_ms, product.cutoff_ms)  # guards against tasks that are held for hours
-        cutoff_at = self.now + max(left_ms / 2, left_ms - self.limits.margin_ms)
+        # Guards against time that ran before we read the task: its time counts from the client's last byte,
+        # which may have waited for a turn of our loop, or, while we start, for the process to listen and
+        # read at all (0.6 to 0.9 s after a restart, all of which had run; lost tasks on herd+mass). Its
+        # cut-off, and so the backstop below, count from the earliest moment it may have come. Should meet
+        # the client's own end whatever kept it waiting; hurts by as much time, from tasks read at start.
+        came_at = self.began_at if self.state == "starting" else self.since
+        cutoff_at = max(self.now, came_at + max(left_ms / 2, left_ms - self.limits.margin_ms))
         errand = Errand(product, plan, customer, self.now, cutoff_at, ask.units, ask.spread)
         errand.caller, errand.ask, errand.size = caller, ask, ask.size()
         caller.queue.append(errand)
--- a/granitedock/service/serve.py
+++ b/granitedock/service/serve.py
@@ -23,6 +23,7 @@
 from twisted.internet.tcp import Port
 from twisted.logger import globalLogBeginner
 
+from granitedock import BEGAN_MS
 from granitedock.service.clients import ClientDoor
 from granitedock.service.counter import CounterLink
 from granitedock.service.dial import Dialler
@@ -39,9 +40,16 @@
 
     seconds = staticmethod(time.monotonic)
 
-    def __init__(self, wakes: Wakes) -> None:
+    def __init__(self, wakes: Wakes, began_ms: float) -> None:
         self.wakes = wakes
+        # What is read after a poll came no sooner than the end of the poll before it, which would have seen
+        # it otherwise; before the first poll, the process's beginning is the bound (ms, Unix).
+        self.since = self.polled_at = began_ms
         super().__init__()
+        self._poller = TimedPoller(self._poller, self.polled)
+
+    def polled(self) -> None:
+        self.since, self.polled_at = self.polled_at, self.wakes.clock()
 
     def timeout(self) -> float | None:
         theirs, ours = super().timeout(), self.wakes.left_s()
@@ -52,6 +60,22 @@
         self.wakes.ring()
 
 
+class TimedPoller:
+    """The reactor's epoll object, which tells when each of its polls ended."""
+
+    def __init__(self, poller: Any, ended: Any) -> None:
+        self.poller, self.ended = poller, ended
+
+    def poll(self, *args: Any) -> list:
+        try:
+            return self.poller.poll(*args)
+        finally:
+            self.ended()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.poller, name)
+
+
 class Clock:
     """Unix time in milliseconds that never steps back: where the system's does, ours runs at half its speed
     until it is caught up with, so that no wait stands still."""
@@ -177,6 +201,7 @@
         seed = int(told["seed"], 16)
         born = told["settings"]
         self.reducer = Reducer(self.clock(), limits, born, seed, known, self.doors, self.log)
+        self.reducer.began_at = min(reactor.since, self.reducer.now)
         self.inbox: deque[tuple] = deque()
         self.busy = False
         self.listen = told["listen"]
@@ -195,7 +220,7 @@
 
     def step(self, *happened: Any) -> None:
         try:
-            effects = self.reducer.reduce(self.clock(), *happened)
+            effects = self.reducer.reduce(self.clock(), *happened, since=self.reactor.since)
         except Exception:
             # Guards all other tasks against a fault met with one.
             self.log.counts["faults"] += 1
@@ -252,7 +277,7 @@
 def serve(path: str) -> int:
     """Serve as the file says, until told to stop."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it can be heard: by default it would end the process
-    reactor = SteadyReactor(Wakes(Clock()))
+    reactor = SteadyReactor(Wakes(Clock()), BEGAN_MS)
     installReactor(reactor)
     try:
         service = Service(path, reactor)
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -180,6 +180,7 @@
         self.now, self.wakes, self.dials, self.lines, self.counts = 100000.0, [], [], [], Counter()
         self.left = self.shut_at = self.takes_in = None
         self.next_id = 0x0123456789ABCDEF
+        self.since = None  # the earliest moment at which what is told may have come, as the loop says
         self.limits = Limits.told({"limits": {"memory_mb": memory_mb, "sockets": sockets}, "settings": BORN})
         self.reducer = Reducer(self.now, self.limits, BORN, 7, self.listing(1, hosts), self, self)
         self.tell("start")
@@ -193,7 +194,7 @@
         return listing({"generation": version, "reset": whole, "instances": entries})
 
     def tell(self, *happened):
-        for act, *what in self.reducer.reduce(self.now, *happened):
+        for act, *what in self.reducer.reduce(self.now, *happened, since=self.since):
             act(*what)
 
     def event(self, event, **figures):
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -13,6 +13,7 @@
 
 NOTHING_NEW = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n"
 VALUE = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
+FINAL = (b"-BUSY\r\n", b"-ERR failed\r\n")  # a task given up on, either way
 
 
 def counted(wired, lines, total=b"1"):
@@ -604,3 +605,36 @@
         assert not asked and all(line.written == said for line, said in answered)  # nothing after the answer
         assert not wired.reducer.errands and not wired.reducer.lanes and not wired.counts["forgotten"]
         assert wired.reducer.held == 0
+
+
+def answered_by(wired, client, end):
+    """Time passes until `end`, in ms; what the client was told by then."""
+    wired.pass_ms(end - wired.now)
+    return client.took()
+
+
+def test_a_task_that_waited_for_a_restarted_process_is_answered_before_its_client_gives_up():
+    # As on herd+mass: the client wrote its task while the process was still starting, and its time ran
+    # before the process could read it. The host it goes to never answers.
+    wired = Wired()
+    lines = wired.counter_up()
+    wired.reducer.began_at = wired.now - 800.0
+    client_end = wired.reducer.began_at + 2486.0
+    client = wired.client()
+    wired.ask(client, d=2486)
+    assert wired.reducer.state == "starting"
+    counted(wired, lines)
+    host = wired.comes_up()
+    assert host.took()
+    assert answered_by(wired, client, client_end) in FINAL
+
+
+def test_a_task_read_after_the_loop_was_away_counts_its_time_from_when_it_may_have_come():
+    wired, lines, client = begun()
+    wired.since = wired.now - 300.0  # the last poll ended so long ago: the task may have waited as long
+    client_end = wired.since + 1000.0
+    wired.ask(client, d=1000)
+    wired.since = None
+    counted(wired, lines)
+    assert wired.comes_up().took()
+    assert answered_by(wired, client, client_end) in FINAL
