Tasks taken while starting wait for the first list, not the old one the process is handed

A restarted gateway is handed the list as it last had it ("it may be old"), and the decisions forwarded by it before the watch's first list came.

Change: the reducer keeps tasks taken while starting and hands them to the decisions once the first list has come, or after ready_ms without one as before; what was answered meanwhile stays answered. Their cut-offs already count from the process's start. A story in test_service.py: twelve tasks at a restart send no call and no forward before the list, then none to the host it says drains; without the change the calls go out at once.

--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -211,6 +211,7 @@
         self.errands: dict[Errand, None] = {}
         self.ids: dict[bytes, Errand] = {}  # of the tasks that wait for their answers
         self.pings: list[tuple[Caller, Reply]] = []
+        self.unheard: list[Errand] = []  # taken while starting, for the decisions once a list has come
         self.held, self.full = 0, False
         self.places: dict[str, Place] = {}
         self.lanes: dict[Forward, Lane] = {}
@@ -275,8 +276,21 @@
         for caller, reply in self.pings:
             self.fill(caller, reply, PONG)
         self.pings = []
+        self.hand_over()
+
+    def hand_over(self) -> None:
+        """Guards against forwards by a list that is old: a process that starts again is handed the list as
+        it last had it, and a host may have begun to drain since, which discovery would tell at once if
+        asked (a send to such a host 1.06 s after it drained, on herd+mass). Tasks taken while starting wait
+        for the first list, or for `ready_ms` without one; those answered meanwhile stay answered. Hurts
+        them by the time the watch takes to speak, some tens of milliseconds."""
+        unheard, self.unheard = self.unheard, []
+        for errand in unheard:
+            if errand in self.errands:
+                self.gateway.take(errand)
 
     def stay_open(self, _self) -> None:
+        self.hand_over()
         self.wake_at(self.now + self.limits.open_ms, "mode", "shut")
         self.wake_at(self.now + self.limits.leave_ms, "mode", "overdue")
 
@@ -458,7 +472,10 @@
         # Guards against whatever leaves a task with nothing that will bring it back, as a fault in a decision
         # does: an error promises nothing, and comes in time.
         errand.alarm = self.wake_at(cutoff_at + self.limits.margin_ms / 2, "forgotten", errand)
-        self.gateway.take(errand)
+        if self.state == "starting":
+            self.unheard.append(errand)
+        else:
+            self.gateway.take(errand)
 
     def forgotten(self, errand: Errand) -> None:
         self.counts["forgotten"] += 1
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -7,6 +7,7 @@
 from pytest import raises
 
 from granitedock.service.counter import PING
+from granitedock.service.discovery import listing
 from granitedock.service.resp import command
 from granitedock.service.hosts import HostLink
 from granitedock.service.serve import Clock
@@ -623,6 +624,7 @@
     client = wired.client()
     wired.ask(client, d=2486)
     assert wired.reducer.state == "starting"
+    wired.watch.link.dataReceived(NOTHING_NEW)
     counted(wired, lines)
     host = wired.comes_up()
     assert host.took()
@@ -638,3 +640,24 @@
     counted(wired, lines)
     assert wired.comes_up().took()
     assert answered_by(wired, client, client_end) in FINAL
+
+
+def test_tasks_taken_at_a_restart_wait_for_the_first_list_and_go_to_no_host_that_drains_since():
+    # As on herd+mass: the process is handed the list as it last had it, with both hosts in service; one has
+    # begun to drain since, and the first list from discovery says so.
+    wired = Wired(hosts=2)
+    lines = wired.counter_up()
+    client = wired.client()
+    for _ in range(12):
+        wired.ask(client)
+    assert not any(b"TALLY" in line.written for line in lines) and not wired.dials
+    entries = [
+        {"instanceId": "h0", "hostPort": "127.0.0.1:0", "lifecycle": "terminating"},
+        {"instanceId": "h1", "hostPort": "127.0.0.1:1", "lifecycle": "in_service"},
+    ]
+    wired.tell("listed", wired.reducer.watch, listing({"generation": 2, "reset": True, "instances": entries}))
+    assert wired.reducer.state == "serving"
+    while any(b"TALLY" in line.written for line in lines):
+        counted(wired, lines)
+    places = {lane.place.address for _, lane, _ in wired.dials}
+    assert places == {"127.0.0.1:1"}
