--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -197,8 +197,8 @@
         diary: Any,
     ) -> None:
         self.limits, self.doors, self.diary, self.now = limits, doors, diary, now
-        # The earliest moment at which what is read in this turn may have come: the start of the loop's wait
-        # before the one that ended this turn, or, while starting, when the process began (see `asked`).
+        # The earliest moment at which what is read in this turn may have come: the end of the loop's poll
+        # before the one that began this turn, or, while starting, when the process began (see `asked`).
         self.began_at = self.since = now
         self.counts: Counter[str] = diary.counts
         self.effects: list[tuple] = []
