--- /dev/null
+++ b/granitedock/lab/scenario.py
@@ -0,0 +1,216 @@
+"""Scenario files of the laboratory: TOML, validated by pydantic; errors name the field and its line.
+
+A scenario says what the laboratory emulates and what it does to it: the fleet (gateways, zones of hosts with
+their service times), the clients and their load, and a timeline of faults. Nothing here decides about a task
+or touches a socket; the emulators and the load tool read the `Scenario` this module makes.
+
+Shapes and units: times in the file are in seconds where the key ends in `_s` and in milliseconds where it
+ends in `_ms`; rates are tasks a second. Errors: `ScenarioError`, whose text is `FILE:LINE: PATH: WHAT`,
+one line a fault. Source: docs/lab-design.md; the format is described for operators in docs/lab.md.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+
+Positive = Annotated[float, Field(gt=0)]
+
+
+class Strict(BaseModel):
+    """Guards against typing errors in a file: a key that is not known is a fault, not a silent default."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Service(Strict):
+    """How long a host takes for one task, in ms: `fixed`, `exponential` about a mean, or `lognormal` with a
+    heavy tail (`sigma` is the spread of the logarithm)."""
+
+    kind: Literal["fixed", "exponential", "lognormal"] = "exponential"
+    mean_ms: Positive = 20.0
+    sigma: Annotated[float, Field(ge=0, le=4)] = 1.0
+
+
+class Zone(Strict):
+    """Hosts that fail together; each has `slots` tasks at once and a queue of `queue` behind them."""
+
+    name: Annotated[str, Field(pattern=r"^[a-z][a-z0-9-]*$")]
+    hosts: Annotated[int, Field(ge=1, le=500)]
+    slots: Annotated[int, Field(ge=1, le=1000)] = 8
+    queue: Annotated[int, Field(ge=0, le=100000)] = 64
+    cold_s: Annotated[float, Field(ge=0)] = 0.0  # slow for so long after it starts
+    service: Service = Service()
+
+
+class Fleet(Strict):
+    gateways: Annotated[int, Field(ge=1, le=64)] = 2
+    zones: Annotated[list[Zone], Field(min_length=1)]
+
+    @model_validator(mode="after")
+    def names_differ(self) -> Fleet:
+        names = [zone.name for zone in self.zones]
+        if len(set(names)) != len(names):
+            raise ValueError(f"zone names repeat: {names}")
+        return self
+
+
+class Clients(Strict):
+    """Open-loop load of one customer: arrivals drawn in advance, Poisson at `rate` or in bursts."""
+
+    customer: Annotated[int, Field(ge=0)]
+    product: str
+    plan: str
+    rate: Positive  # tasks a second
+    shape: Literal["steady", "bursts"] = "steady"
+    burst_size: Annotated[int, Field(ge=1)] = 50
+    burst_every_s: Positive = 5.0
+    left_ms: Positive = 3000.0  # the time each task states
+    units: Positive = 1.0
+
+
+FAULTS = {
+    # what: whom it may name
+    "slow": "zone or host",
+    "errors": "zone or host",
+    "busy": "zone or host",
+    "silent": "zone or host",
+    "half": "zone or host",
+    "reset": "zone or host",
+    "drain": "zone or host",
+    "kill": "zone, host or counter",
+    "restart_empty": "counter",
+    "partition": "counter or discovery",
+    "stale": "counter",
+    "move": "counter or discovery",
+    "late_lists": "discovery",
+    "wrong_lists": "discovery",
+    "flap": "host",
+    "down": "discovery",
+}
+
+
+class Fault(Strict):
+    """One fault of the timeline: from `at_s`, for `for_s` (0 for the rest of the run), to `target`: a zone's
+    name, `HOST` as `zone/n`, `counter` or `discovery`. `factor` slows, `rate` is a share of tasks hit."""
+
+    at_s: Annotated[float, Field(ge=0)]
+    what: Literal[tuple(FAULTS)]  # type: ignore[valid-type]
+    target: str
+    for_s: Annotated[float, Field(ge=0)] = 0.0
+    factor: Annotated[float, Field(ge=1)] = 1.0
+    rate: Annotated[float, Field(ge=0, le=1)] = 1.0
+
+
+class Scenario(Strict):
+    name: str = "scenario"
+    seed: Annotated[int, Field(ge=0)] = 1
+    length_s: Annotated[float, Field(gt=0, le=3600)] = 60.0
+    fleet: Fleet
+    clients: Annotated[list[Clients], Field(min_length=1)]
+    timeline: list[Fault] = []
+
+
+def crossed(scenario: Scenario) -> list[tuple[tuple, str]]:
+    """What each part allows alone but not with the others: (path of keys, what is wrong) for each fault."""
+    zones = {zone.name: zone.hosts for zone in scenario.fleet.zones}
+    faults = []
+    for n, fault in enumerate(scenario.timeline):
+        takes = FAULTS[fault.what]
+        if not target_kinds(fault.target, zones) & set(re.split(r", | or ", takes)):
+            faults.append(
+                (("timeline", n, "target"), f"{fault.what!r} takes a {takes}, not {fault.target!r}")
+            )
+        if fault.at_s >= scenario.length_s:
+            faults.append(
+                (("timeline", n, "at_s"), f"{fault.at_s} is not within length_s {scenario.length_s}")
+            )
+    return faults
+
+
+def target_kinds(target: str, zones: dict[str, int]) -> set[str]:
+    """What a target names: {'zone'}, {'host'}, {'counter'}, {'discovery'}, or nothing known.
+
+    >>> sorted(target_kinds("east/3", {"east": 4})), sorted(target_kinds("east/4", {"east": 4}))
+    (['host'], [])
+    """
+    if target in ("counter", "discovery"):
+        return {target}
+    if target in zones:
+        return {"zone"}
+    zone, _, number = target.partition("/")
+    if zone in zones and number.isdigit() and int(number) < zones[zone]:
+        return {"host"}
+    return set()
+
+
+class ScenarioError(ValueError):
+    """A scenario that cannot be used; its text has a line for each fault, `FILE:LINE: PATH: WHAT`."""
+
+
+def load(path: str | Path) -> Scenario:
+    """Read and check a scenario file. Raises ScenarioError; nothing is started from a file that fails."""
+    path = Path(path)
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as fault:
+        raise ScenarioError(f"{path}: cannot be read: {fault}") from None
+    return parse(text, str(path))
+
+
+def parse(text: str, name: str = "<scenario>") -> Scenario:
+    """Check a scenario given as TOML text; `name` stands for the file in errors."""
+    try:
+        document = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as fault:
+        line = re.search(r"line (\d+)", str(fault))
+        raise ScenarioError(f"{name}:{line.group(1) if line else '?'}: not TOML: {fault}") from None
+    try:
+        scenario = Scenario.model_validate(document)
+    except ValidationError as faults:
+        found = [(tuple(fault["loc"]), fault["msg"]) for fault in faults.errors()]
+    else:
+        found = crossed(scenario)
+    if found:
+        lines = []
+        for loc, what in found:
+            place = ".".join(str(part) for part in loc) or "(whole file)"
+            lines.append(f"{name}:{line_of(text, loc)}: {place}: {what}")
+        raise ScenarioError("\n".join(lines))
+    return scenario
+
+
+def line_of(text: str, loc: tuple) -> int:
+    """The line at which a path of keys stands in TOML text, as near as the text shows it: the key's own line,
+    else that of the table or array entry that holds it, else 1.
+
+    >>> text = "[fleet]\\ngateways = 0\\n[[clients]]\\nrate = 1\\n[[clients]]\\nrate = -1\\n"
+    >>> line_of(text, ("clients", 1, "rate"))
+    6
+    """
+    rows = text.splitlines()
+    start, end, table = 0, len(rows), ""
+    for part in loc:
+        if isinstance(part, int):
+            headers = [
+                n for n in range(start, end) if re.match(rf"\s*\[\[\s*{re.escape(table)}\s*\]\]", rows[n])
+            ]
+            if part < len(headers):
+                start = headers[part] + 1
+                nxt = [n for n in range(start, end) if re.match(r"\s*\[", rows[n])]
+                end = nxt[0] if nxt else end
+            continue
+        table = f"{table}.{part}" if table else str(part)
+        for n in range(start, end):
+            if re.match(rf"\s*{re.escape(str(part))}\s*=", rows[n]):
+                return n + 1
+            if re.match(rf"\s*\[\[\s*{re.escape(table)}\s*\]\]", rows[n]):
+                break  # an array of tables: the index that follows picks its entry
+            if re.match(rf"\s*\[\s*{re.escape(table)}\s*\]", rows[n]):
+                start = n + 1
+                break
+    return start if start else 1
