Laboratory: emulated hosts on loopback, many in one Twisted process, living as scripted

Change: granitedock/lab/hosts.py: one listener a host, framing by service/resp.py, replies from life.reply (value, error, busy, silent, half, reset), killed hosts stop listening and drop their connections and listen again when their fault is over; `python -m granitedock.lab.hosts SCENARIO` prints the addresses as one JSON line and serves until SIGTERM.

--- /dev/null
+++ b/granitedock/lab/hosts.py
@@ -0,0 +1,158 @@
+"""Emulated hosts: many RESP2 servers on loopback in one Twisted process, each living as its scenario says.
+
+Each host listens on its own port, serves `slots` tasks at once with a queue of `queue` behind them
+(beyond it: `-BUSY`), and does with each task what `life.reply` says: answers after its service time,
+errs, refuses, stays silent, writes half an answer and stalls, or resets the connection. A killed host
+closes its listener and its connections at once, as a dead process does. Framing is the service's own
+(`service/resp.py`).
+
+Run as `python -m granitedock.lab.hosts SCENARIO`: it prints one JSON line, {"zone/n": "127.0.0.1:port", ...},
+and serves until SIGTERM. Source: docs/lab-design.md ("Where the emulated hosts run").
+"""
+
+from __future__ import annotations
+
+import signal
+import sys
+import time
+from collections import deque
+from random import Random
+from typing import Any
+
+import orjson
+from twisted.internet import reactor as default_reactor
+from twisted.internet.protocol import Factory
+
+from granitedock.lab.life import condition, faults_of, reply
+from granitedock.lab.scenario import Scenario, Zone, load
+from granitedock.service.resp import RespReceiver
+
+VALUE = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"  # a value, with no figures of units behind it
+ANSWERS = {
+    "value": VALUE,
+    "error": b"-ERR emulated\r\n",
+    "busy": b"-BUSY\r\n",
+    "half": VALUE[: len(VALUE) // 2],
+}
+
+
+class Host:
+    """One emulated host: its life, its slots and queue, and the connections it has."""
+
+    def __init__(self, name: str, zone: Zone, faults: list, chance: Random, clock, reactor) -> None:
+        self.name, self.zone, self.faults, self.chance = name, zone, faults, chance
+        self.clock, self.reactor = clock, reactor
+        self.started_ms = self.up_ms = clock()
+        self.busy, self.waiting = 0, deque()
+        self.links: set[HostLink] = set()
+        self.port: Any = None
+        self.seen = 0  # tasks that came whole
+
+    def state(self):
+        return condition(
+            self.faults, self.zone.cold_s, self.clock() - self.started_ms, self.up_ms - self.started_ms
+        )
+
+    def came(self, link: HostLink) -> None:
+        self.seen += 1
+        if self.busy >= self.zone.slots:
+            if len(self.waiting) >= self.zone.queue:
+                link.send(ANSWERS["busy"])
+                return
+            self.waiting.append(link)
+            return
+        self.serve(link)
+
+    def serve(self, link: HostLink) -> None:
+        self.busy += 1
+        what = reply(self.state(), self.zone.service, self.chance)
+        self.reactor.callLater(what.after_ms / 1000.0, self.done, link, what.kind)
+
+    def done(self, link: HostLink, kind: str) -> None:
+        self.busy -= 1
+        if link.transport is not None and link.transport.connected:
+            if kind == "reset":
+                link.transport.abortConnection()
+            elif kind in ANSWERS:
+                link.send(ANSWERS[kind])
+            # silent: the task is held and never answered
+        while self.waiting and self.busy < self.zone.slots:
+            self.serve(self.waiting.popleft())
+
+    def check(self) -> None:
+        """Twice a second: a host that is gone stops listening and drops what it has; one back listens."""
+        gone = self.state().gone
+        if gone and self.port is not None:
+            self.port.stopListening()
+            self.port = None
+            for link in list(self.links):
+                link.transport.abortConnection()
+        elif not gone and self.port is None:
+            self.up_ms = self.clock()
+            self.listen(self.address_port)
+
+    def listen(self, port: int) -> str:
+        factory = Factory.forProtocol(lambda: HostLink(self))
+        self.port = self.reactor.listenTCP(port, factory, interface="127.0.0.1")
+        self.address_port = self.port.getHost().port
+        return f"127.0.0.1:{self.address_port}"
+
+
+class HostLink(RespReceiver):
+    def __init__(self, host: Host) -> None:
+        super().__init__(1024, 64 * 1024, 68 * 1024, 64, 4)
+        self.host = host
+
+    def connectionMade(self) -> None:
+        self.host.links.add(self)
+
+    def connectionLost(self, reason: Any = None) -> None:
+        self.host.links.discard(self)
+
+    def received(self, value: Any, parts: list[bytes]) -> None:
+        if isinstance(value, list) and value and value[0] == b"PING":
+            self.send(b"+PONG\r\n")
+            return
+        self.host.came(self)
+
+    def malformed(self, why: str) -> None:
+        self.transport.abortConnection()
+
+
+def start(scenario: Scenario, reactor: Any = default_reactor) -> tuple[dict[str, str], list[Host]]:
+    """All hosts of the scenario, listening; their addresses by name ("zone/n")."""
+    began = time.monotonic()
+
+    def clock() -> float:
+        return (time.monotonic() - began) * 1000.0
+
+    addresses, hosts = {}, []
+    for zone in scenario.fleet.zones:
+        for number in range(zone.hosts):
+            name = f"{zone.name}/{number}"
+            chance = Random(f"{scenario.seed}:{name}")
+            host = Host(name, zone, faults_of(scenario, zone, number), chance, clock, reactor)
+            addresses[name] = host.listen(0)
+            hosts.append(host)
+
+    def check() -> None:
+        for host in hosts:
+            host.check()
+        reactor.callLater(0.5, check)
+
+    reactor.callLater(0.5, check)
+    return addresses, hosts
+
+
+def main(argv: list[str]) -> int:
+    scenario = load(argv[1])
+    addresses, _ = start(scenario)
+    sys.stdout.write(orjson.dumps(addresses).decode() + "\n")
+    sys.stdout.flush()
+    signal.signal(signal.SIGTERM, lambda *_: default_reactor.callFromThread(default_reactor.stop))
+    default_reactor.run(installSignalHandlers=False)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv))
--- /dev/null
+++ b/tests/test_lab_hosts.py
@@ -0,0 +1,69 @@
+"""Emulated hosts on loopback: one answers, one is silent, one is killed and comes back, as scripted."""
+
+import json
+import socket
+import subprocess
+import sys
+import time
+
+from granitedock.service.resp import command
+
+SCENARIO = """
+length_s = 30
+[fleet]
+[[fleet.zones]]
+name = "east"
+hosts = 2
+service = { kind = "fixed", mean_ms = 5 }
+[[clients]]
+customer = 1
+product = "read"
+plan = "p"
+rate = 1
+[[timeline]]
+at_s = 0
+what = "silent"
+target = "east/1"
+[[timeline]]
+at_s = 1.5
+what = "kill"
+target = "east/0"
+for_s = 2
+"""
+VALUE = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
+
+
+def ask(address, wait_s=1.0):
+    """One task on a new connection: the answer, b"" if none came in time, None if nobody listens."""
+    host, _, port = address.rpartition(":")
+    try:
+        with socket.create_connection((host, int(port)), timeout=wait_s) as line:
+            line.sendall(command(b"API.READ", b"a1", b"b2", b"c=read,t=p,d=1000"))
+            try:
+                return line.recv(1024)
+            except TimeoutError:
+                return b""
+            except ConnectionResetError:
+                return None
+    except ConnectionRefusedError:
+        return None
+
+
+def test_hosts_live_as_the_scenario_says(tmp_path):
+    path = tmp_path / "s.toml"
+    path.write_text(SCENARIO)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "granitedock.lab.hosts", str(path)], stdout=subprocess.PIPE, text=True
+    )
+    try:
+        began = time.monotonic()
+        addresses = json.loads(process.stdout.readline())
+        assert ask(addresses["east/0"]) == VALUE
+        assert ask(addresses["east/1"], wait_s=0.3) == b""
+        time.sleep(max(0.0, 2.3 - (time.monotonic() - began)))
+        assert ask(addresses["east/0"]) is None  # killed: nobody listens
+        time.sleep(max(0.0, 4.5 - (time.monotonic() - began)))
+        assert ask(addresses["east/0"]) == VALUE  # back
+    finally:
+        process.terminate()
+        process.wait(5)
