Laboratory: a counter stand-in that is killed, restarted empty, partitioned or stale

The loopback stories now start their clocks once the stand-in has spoken, not at its spawn, which ran 0.4 s early and let the partition's first moment pass unseen. Measured (tests/test_lab_counter.py, 5 s): totals 2 then 3.5; in the partition no answer in 0.3 s, then 4.5 once it is over; after the kill, 1 on a fresh count.

--- /dev/null
+++ b/tests/test_lab_counter.py
@@ -0,0 +1,65 @@
+"""The counter stand-in on loopback: totals over their lives, answers held in a partition, a kill forgets."""
+
+import json
+import socket
+import subprocess
+import sys
+import time
+
+from granitedock.service.counter import tally
+
+SCENARIO = """
+length_s = 30
+[fleet]
+[[fleet.zones]]
+name = "east"
+hosts = 1
+[[clients]]
+customer = 1
+product = "read"
+plan = "p"
+rate = 1
+[[timeline]]
+at_s = 1.0
+what = "partition"
+target = "counter"
+for_s = 1.0
+[[timeline]]
+at_s = 3.0
+what = "kill"
+target = "counter"
+for_s = 1.0
+"""
+
+
+def call(line, data, wait_s=0.5):
+    line.settimeout(wait_s)
+    line.sendall(data)
+    try:
+        return line.recv(1024)
+    except TimeoutError:
+        return b""
+
+
+def test_the_counter_counts_holds_answers_in_a_partition_and_forgets_when_killed(tmp_path):
+    path = tmp_path / "s.toml"
+    path.write_text(SCENARIO)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "granitedock.lab.counter", str(path)], stdout=subprocess.PIPE, text=True
+    )
+    try:
+        host, _, port = json.loads(process.stdout.readline()).rpartition(":")
+        began = time.monotonic()  # its clock began a little before it spoke: ours is no sooner
+        with socket.create_connection((host, int(port))) as line:
+            assert call(line, tally(7, 2.0, 10_000)) == b"$1\r\n2\r\n"
+            assert call(line, tally(7, 1.5, 10_000)) == b"$3\r\n3.5\r\n"
+            time.sleep(max(0.0, 1.3 - (time.monotonic() - began)))
+            assert call(line, tally(7, 1.0, 10_000), wait_s=0.3) == b""  # held in the partition
+            time.sleep(max(0.0, 2.2 - (time.monotonic() - began)))
+            assert call(line, b"", wait_s=0.5) == b"$3\r\n4.5\r\n"  # and written once it is over
+        time.sleep(max(0.0, 4.4 - (time.monotonic() - began)))
+        with socket.create_connection((host, int(port))) as line:
+            assert call(line, tally(7, 1.0, 10_000)) == b"$1\r\n1\r\n"  # back, and empty
+    finally:
+        process.terminate()
+        process.wait(5)
--- a/tests/test_lab_hosts.py
+++ b/tests/test_lab_hosts.py
@@ -56,8 +56,8 @@
         [sys.executable, "-m", "granitedock.lab.hosts", str(path)], stdout=subprocess.PIPE, text=True
     )
     try:
-        began = time.monotonic()
         addresses = json.loads(process.stdout.readline())
+        began = time.monotonic()  # its clock began a little before it spoke: ours is no sooner
         assert ask(addresses["east/0"]) == VALUE
         assert ask(addresses["east/1"], wait_s=0.3) == b""
         time.sleep(max(0.0, 2.3 - (time.monotonic() - began)))
