--- /dev/null
+++ b/granitedock/lab/discovery.py
@@ -0,0 +1,145 @@
+"""A stand-in for discovery on loopback: the HTTP watch that `service/discovery.py` follows, and its faults.
+
+A watch is `GET /api/targets?watch=1&after=V`; the answer is 200 with chunked lines, one JSON list a line
+(`{"generation", "reset", "instances": [{"instanceId", "hostPort", "lifecycle"}]}`) whenever the list changes,
+and an empty line each second between. A host's lifecycle follows its faults: `drain` makes it `terminating`,
+`kill` `terminated` for its time. Faults on the target `discovery`: `down` (refused for `for_s`), `partition`
+(open and silent), `late_lists` (each list written `factor` seconds late), `wrong_lists` (addresses that lead
+nowhere). HTTP is read and written by h11.
+
+Run as `python -m granitedock.lab.discovery SCENARIO HOSTS`, where HOSTS is the JSON line that
+`granitedock.lab.hosts` printed: it prints its own address as one JSON line and serves until SIGTERM.
+"""
+
+from __future__ import annotations
+
+import signal
+import sys
+import time
+from typing import Any
+
+import h11
+import orjson
+from twisted.internet import reactor as default_reactor
+from twisted.internet.protocol import Factory, Protocol
+
+from granitedock.lab.scenario import Scenario, load
+
+
+class Discovery:
+    """The list, as the scenario's faults make it at each moment, and the watches that follow it."""
+
+    def __init__(self, scenario: Scenario, hosts: dict[str, str], reactor: Any = default_reactor) -> None:
+        self.reactor, self.began, self.hosts = reactor, time.monotonic(), hosts
+        self.timeline = scenario.timeline
+        self.watches: set[Watch] = set()
+        self.port: Any = None
+        self.port_number = 0
+        self.generation, self.last = 0, b""
+
+    def now_s(self) -> float:
+        return time.monotonic() - self.began
+
+    def holding(self, what: str, target: str) -> Any:
+        now = self.now_s()
+        for fault in self.timeline:
+            if (
+                fault.what == what
+                and fault.target == target
+                and fault.at_s <= now < fault.at_s + (fault.for_s or 1e9)
+            ):
+                return fault
+        return None
+
+    def lifecycle(self, name: str) -> str:
+        zone = name.split("/")[0]
+        for target in (name, zone):
+            if self.holding("kill", target):
+                return "terminated"
+            if self.holding("drain", target):
+                return "terminating"
+        return "in_service"
+
+    def document(self) -> bytes:
+        wrong = self.holding("wrong_lists", "discovery") is not None
+        instances = [
+            {
+                "instanceId": name,
+                "hostPort": "127.0.0.1:1" if wrong else address,
+                "lifecycle": self.lifecycle(name),
+            }
+            for name, address in sorted(self.hosts.items())
+        ]
+        return orjson.dumps({"generation": self.generation, "reset": True, "instances": instances})
+
+    def listen(self) -> str:
+        factory = Factory.forProtocol(lambda: Watch(self))
+        self.port = self.reactor.listenTCP(self.port_number, factory, interface="127.0.0.1")
+        self.port_number = self.port.getHost().port
+        return f"127.0.0.1:{self.port_number}"
+
+    def tick(self) -> None:
+        """Every 100 ms: the list anew, to each watch if it changed, and an empty line each second."""
+        down = self.holding("down", "discovery") is not None
+        if down and self.port is not None:
+            self.port.stopListening()
+            self.port = None
+            for watch in list(self.watches):
+                watch.transport.abortConnection()
+        elif not down and self.port is None:
+            self.listen()
+        body = self.document()
+        if body != self.last:
+            self.generation += 1
+            self.last = body = self.document()
+            late = self.holding("late_lists", "discovery")
+            self.reactor.callLater(late.factor if late else 0.0, self.tell, body + b"\n")
+        elif int(self.now_s() * 10) % 10 == 0:
+            self.tell(b"\n")
+        self.reactor.callLater(0.1, self.tick)
+
+    def tell(self, line: bytes) -> None:
+        if self.holding("partition", "discovery"):
+            return  # open and silent
+        for watch in list(self.watches):
+            watch.write(line)
+
+
+class Watch(Protocol):
+    def __init__(self, discovery: Discovery) -> None:
+        self.discovery, self.http, self.open = discovery, h11.Connection(h11.SERVER), False
+
+    def connectionLost(self, reason: Any = None) -> None:
+        self.discovery.watches.discard(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        try:
+            self.http.receive_data(data)
+            while (event := self.http.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
+                if isinstance(event, h11.Request) and not self.open:
+                    self.open = True
+                    head = h11.Response(status_code=200, headers=[("Transfer-Encoding", "chunked")])
+                    self.transport.write(self.http.send(head))
+                    self.discovery.watches.add(self)
+                    if self.discovery.last:
+                        self.write(self.discovery.last + b"\n")
+        except h11.RemoteProtocolError:
+            self.transport.abortConnection()
+
+    def write(self, line: bytes) -> None:
+        self.transport.write(self.http.send(h11.Data(data=line)))
+
+
+def main(argv: list[str]) -> int:
+    discovery = Discovery(load(argv[1]), orjson.loads(argv[2]))
+    address = discovery.listen()
+    discovery.tick()
+    sys.stdout.write(orjson.dumps(address).decode() + "\n")
+    sys.stdout.flush()
+    signal.signal(signal.SIGTERM, lambda *_: default_reactor.callFromThread(default_reactor.stop))
+    default_reactor.run(installSignalHandlers=False)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv))
--- /dev/null
+++ b/tests/test_lab_discovery.py
@@ -0,0 +1,75 @@
+"""The discovery stand-in on loopback: the list, a drain told on the watch, and a discovery that goes down."""
+
+import json
+import socket
+import subprocess
+import sys
+import time
+
+SCENARIO = """
+length_s = 30
+[fleet]
+[[fleet.zones]]
+name = "east"
+hosts = 1
+[[clients]]
+customer = 1
+product = "read"
+plan = "p"
+rate = 1
+[[timeline]]
+at_s = 1.0
+what = "drain"
+target = "east/0"
+[[timeline]]
+at_s = 2.0
+what = "down"
+target = "discovery"
+for_s = 1.0
+"""
+
+
+def watch(address):
+    host, _, port = address.rpartition(":")
+    line = socket.create_connection((host, int(port)), timeout=1.0)
+    line.sendall(b"GET /api/targets?watch=1&after=0 HTTP/1.1\r\nHost: d\r\n\r\n")
+    return line
+
+
+def heard(line, until):
+    """The lifecycles told on the watch until `until` (monotonic seconds); None if it was cut."""
+    data = b""
+    while time.monotonic() < until:
+        try:
+            more = line.recv(65536)
+        except TimeoutError:
+            continue
+        except ConnectionResetError:
+            return None
+        if not more:
+            return None
+        data += more
+    return [json.loads(row)["instances"][0]["lifecycle"] for row in data.split(b"\n") if row.startswith(b"{")]
+
+
+def test_discovery_tells_the_list_and_a_drain_and_goes_down_and_back(tmp_path):
+    path = tmp_path / "s.toml"
+    path.write_text(SCENARIO)
+    hosts = json.dumps({"east/0": "127.0.0.1:5000"})
+    process = subprocess.Popen(
+        [sys.executable, "-m", "granitedock.lab.discovery", str(path), hosts],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        address = json.loads(process.stdout.readline())
+        began = time.monotonic()
+        line = watch(address)
+        assert heard(line, began + 1.6) == ["in_service", "terminating"]
+        assert heard(line, began + 2.5) is None  # down: the watch is cut
+        time.sleep(max(0.0, 3.4 - (time.monotonic() - began)))
+        with watch(address) as again:
+            assert heard(again, time.monotonic() + 0.5) == ["terminating"]  # back, with the list as it stands
+    finally:
+        process.terminate()
+        process.wait(5)
