Laboratory: one way for a stand-in to run as a process, one for the stories to start it

Change: granitedock/lab/running.serve and tests/standins.spawned; the three mains and stories use them. Behaviour unchanged.

--- a/granitedock/lab/counter.py
+++ b/granitedock/lab/counter.py
@@ -12,16 +12,15 @@
 
 from __future__ import annotations
 
-import signal
 import sys
 import time
 from collections import defaultdict, deque
 from typing import Any
 
-import orjson
 from twisted.internet import reactor as default_reactor
 from twisted.internet.protocol import Factory
 
+from granitedock.lab.running import serve
 from granitedock.lab.scenario import Scenario, load
 from granitedock.service.counter import amount
 from granitedock.service.resp import RespReceiver, bulk
@@ -155,11 +154,7 @@
     counter = Counter(load(argv[1]))
     address = counter.listen()
     counter.check()
-    sys.stdout.write(orjson.dumps(address).decode() + "\n")
-    sys.stdout.flush()
-    signal.signal(signal.SIGTERM, lambda *_: default_reactor.callFromThread(default_reactor.stop))
-    default_reactor.run(installSignalHandlers=False)
-    return 0
+    return serve(address)
 
 
 if __name__ == "__main__":
--- a/granitedock/lab/discovery.py
+++ b/granitedock/lab/discovery.py
@@ -13,7 +13,6 @@
 
 from __future__ import annotations
 
-import signal
 import sys
 import time
 from typing import Any
@@ -23,6 +22,7 @@
 from twisted.internet import reactor as default_reactor
 from twisted.internet.protocol import Factory, Protocol
 
+from granitedock.lab.running import serve
 from granitedock.lab.scenario import Scenario, load
 
 
@@ -134,11 +134,7 @@
     discovery = Discovery(load(argv[1]), orjson.loads(argv[2]))
     address = discovery.listen()
     discovery.tick()
-    sys.stdout.write(orjson.dumps(address).decode() + "\n")
-    sys.stdout.flush()
-    signal.signal(signal.SIGTERM, lambda *_: default_reactor.callFromThread(default_reactor.stop))
-    default_reactor.run(installSignalHandlers=False)
-    return 0
+    return serve(address)
 
 
 if __name__ == "__main__":
--- a/granitedock/lab/hosts.py
+++ b/granitedock/lab/hosts.py
@@ -12,18 +12,17 @@
 
 from __future__ import annotations
 
-import signal
 import sys
 import time
 from collections import deque
 from random import Random
 from typing import Any
 
-import orjson
 from twisted.internet import reactor as default_reactor
 from twisted.internet.protocol import Factory
 
 from granitedock.lab.life import condition, faults_of, reply
+from granitedock.lab.running import serve
 from granitedock.lab.scenario import Scenario, Zone, load
 from granitedock.service.resp import RespReceiver
 
@@ -145,13 +144,8 @@
 
 
 def main(argv: list[str]) -> int:
-    scenario = load(argv[1])
-    addresses, _ = start(scenario)
-    sys.stdout.write(orjson.dumps(addresses).decode() + "\n")
-    sys.stdout.flush()
-    signal.signal(signal.SIGTERM, lambda *_: default_reactor.callFromThread(default_reactor.stop))
-    default_reactor.run(installSignalHandlers=False)
-    return 0
+    addresses, _ = start(load(argv[1]))
+    return serve(addresses)
 
 
 if __name__ == "__main__":
--- a/tests/test_lab_counter.py
+++ b/tests/test_lab_counter.py
@@ -1,24 +1,19 @@
 """The counter stand-in on loopback: totals over their lives, answers held in a partition, a kill forgets."""
 
-import json
 import socket
-import subprocess
-import sys
 import time
 
+from standins import CLIENTS, spawned
+
 from granitedock.service.counter import tally
 
-SCENARIO = """
+SCENARIO = (
+    """
 length_s = 30
 [fleet]
 [[fleet.zones]]
 name = "east"
 hosts = 1
-[[clients]]
-customer = 1
-product = "read"
-plan = "p"
-rate = 1
 [[timeline]]
 at_s = 1.0
 what = "partition"
@@ -30,6 +25,8 @@
 target = "counter"
 for_s = 1.0
 """
+    + CLIENTS
+)
 
 
 def call(line, data, wait_s=0.5):
@@ -42,13 +39,8 @@
 
 
 def test_the_counter_counts_holds_answers_in_a_partition_and_forgets_when_killed(tmp_path):
-    path = tmp_path / "s.toml"
-    path.write_text(SCENARIO)
-    process = subprocess.Popen(
-        [sys.executable, "-m", "granitedock.lab.counter", str(path)], stdout=subprocess.PIPE, text=True
-    )
-    try:
-        host, _, port = json.loads(process.stdout.readline()).rpartition(":")
+    with spawned("counter", tmp_path, SCENARIO) as said:
+        host, _, port = said.rpartition(":")
         began = time.monotonic()  # its clock began a little before it spoke: ours is no sooner
         with socket.create_connection((host, int(port))) as line:
             assert call(line, tally(7, 2.0, 10_000)) == b"$1\r\n2\r\n"
@@ -60,6 +52,3 @@
         time.sleep(max(0.0, 4.4 - (time.monotonic() - began)))
         with socket.create_connection((host, int(port))) as line:
             assert call(line, tally(7, 1.0, 10_000)) == b"$1\r\n1\r\n"  # back, and empty
-    finally:
-        process.terminate()
-        process.wait(5)
--- a/tests/test_lab_discovery.py
+++ b/tests/test_lab_discovery.py
@@ -2,21 +2,17 @@
 
 import json
 import socket
-import subprocess
-import sys
 import time
 
-SCENARIO = """
+from standins import CLIENTS, spawned
+
+SCENARIO = (
+    """
 length_s = 30
 [fleet]
 [[fleet.zones]]
 name = "east"
 hosts = 1
-[[clients]]
-customer = 1
-product = "read"
-plan = "p"
-rate = 1
 [[timeline]]
 at_s = 1.0
 what = "drain"
@@ -27,6 +23,8 @@
 target = "discovery"
 for_s = 1.0
 """
+    + CLIENTS
+)
 
 
 def watch(address):
@@ -53,16 +51,9 @@
 
 
 def test_discovery_tells_the_list_and_a_drain_and_goes_down_and_back(tmp_path):
-    path = tmp_path / "s.toml"
-    path.write_text(SCENARIO)
     hosts = json.dumps({"east/0": "127.0.0.1:5000"})
-    process = subprocess.Popen(
-        [sys.executable, "-m", "granitedock.lab.discovery", str(path), hosts],
-        stdout=subprocess.PIPE,
-        text=True,
-    )
-    try:
-        address = json.loads(process.stdout.readline())
+    with spawned("discovery", tmp_path, SCENARIO, hosts) as said:
+        address = said
         began = time.monotonic()
         line = watch(address)
         assert heard(line, began + 1.6) == ["in_service", "terminating"]
@@ -70,6 +61,3 @@
         time.sleep(max(0.0, 3.4 - (time.monotonic() - began)))
         with watch(address) as again:
             assert heard(again, time.monotonic() + 0.5) == ["terminating"]  # back, with the list as it stands
-    finally:
-        process.terminate()
-        process.wait(5)
--- a/tests/test_lab_hosts.py
+++ b/tests/test_lab_hosts.py
@@ -1,25 +1,20 @@
 """Emulated hosts on loopback: one answers, one is silent, one is killed and comes back, as scripted."""
 
-import json
 import socket
-import subprocess
-import sys
 import time
 
+from standins import CLIENTS, spawned
+
 from granitedock.service.resp import command
 
-SCENARIO = """
+SCENARIO = (
+    """
 length_s = 30
 [fleet]
 [[fleet.zones]]
 name = "east"
 hosts = 2
 service = { kind = "fixed", mean_ms = 5 }
-[[clients]]
-customer = 1
-product = "read"
-plan = "p"
-rate = 1
 [[timeline]]
 at_s = 0
 what = "silent"
@@ -30,6 +25,8 @@
 target = "east/0"
 for_s = 2
 """
+    + CLIENTS
+)
 VALUE = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
 
 
@@ -50,13 +47,8 @@
 
 
 def test_hosts_live_as_the_scenario_says(tmp_path):
-    path = tmp_path / "s.toml"
-    path.write_text(SCENARIO)
-    process = subprocess.Popen(
-        [sys.executable, "-m", "granitedock.lab.hosts", str(path)], stdout=subprocess.PIPE, text=True
-    )
-    try:
-        addresses = json.loads(process.stdout.readline())
+    with spawned("hosts", tmp_path, SCENARIO) as said:
+        addresses = said
         began = time.monotonic()  # its clock began a little before it spoke: ours is no sooner
         assert ask(addresses["east/0"]) == VALUE
         assert ask(addresses["east/1"], wait_s=0.3) == b""
@@ -64,6 +56,3 @@
         assert ask(addresses["east/0"]) is None  # killed: nobody listens
         time.sleep(max(0.0, 4.5 - (time.monotonic() - began)))
         assert ask(addresses["east/0"]) == VALUE  # back
-    finally:
-        process.terminate()
-        process.wait(5)
