--- a/granitedock/lab/counter.py
+++ b/granitedock/lab/counter.py
@@ -18,9 +18,8 @@
 from typing import Any
 
 from twisted.internet import reactor as default_reactor
-from twisted.internet.protocol import Factory
 
-from granitedock.lab.running import serve
+from granitedock.lab.running import listen, serve, vanish
 from granitedock.lab.scenario import Scenario, load
 from granitedock.service.counter import amount
 from granitedock.service.resp import RespReceiver, bulk
@@ -71,10 +70,7 @@
         )
 
     def listen(self) -> str:
-        self.port = self.reactor.listenTCP(
-            self.port_number, Factory.forProtocol(lambda: CounterSide(self)), interface="127.0.0.1"
-        )
-        self.port_number = self.port.getHost().port
+        self.port, self.port_number = listen(self.reactor, self.port_number, lambda: CounterSide(self))
         return f"127.0.0.1:{self.port_number}"
 
     def cut(self) -> None:
@@ -85,9 +81,8 @@
         """Every 50 ms: faults begin and end."""
         killed = self.holds("kill")
         if killed and self.port is not None:
-            self.port.stopListening()
+            vanish(self.port, self.links)
             self.port = None
-            self.cut()
             self.counts = Counts()  # a process that dies forgets
         elif not killed and self.port is None:
             self.listen()
--- a/granitedock/lab/discovery.py
+++ b/granitedock/lab/discovery.py
@@ -20,9 +20,9 @@
 import h11
 import orjson
 from twisted.internet import reactor as default_reactor
-from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.protocol import Protocol
 
-from granitedock.lab.running import serve
+from granitedock.lab.running import listen, serve, vanish
 from granitedock.lab.scenario import Scenario, load
 
 
@@ -73,19 +73,15 @@
         return orjson.dumps({"generation": self.generation, "reset": True, "instances": instances})
 
     def listen(self) -> str:
-        factory = Factory.forProtocol(lambda: Watch(self))
-        self.port = self.reactor.listenTCP(self.port_number, factory, interface="127.0.0.1")
-        self.port_number = self.port.getHost().port
+        self.port, self.port_number = listen(self.reactor, self.port_number, lambda: Watch(self))
         return f"127.0.0.1:{self.port_number}"
 
     def tick(self) -> None:
         """Every 100 ms: the list anew, to each watch if it changed, and an empty line each second."""
         down = self.holding("down", "discovery") is not None
         if down and self.port is not None:
-            self.port.stopListening()
+            vanish(self.port, self.watches)
             self.port = None
-            for watch in list(self.watches):
-                watch.transport.abortConnection()
         elif not down and self.port is None:
             self.listen()
         body = self.document()
--- a/granitedock/lab/hosts.py
+++ b/granitedock/lab/hosts.py
@@ -19,10 +19,9 @@
 from typing import Any
 
 from twisted.internet import reactor as default_reactor
-from twisted.internet.protocol import Factory
 
 from granitedock.lab.life import condition, faults_of, reply
-from granitedock.lab.running import serve
+from granitedock.lab.running import listen, serve, vanish
 from granitedock.lab.scenario import Scenario, Zone, load
 from granitedock.service.resp import RespReceiver
 
@@ -82,18 +81,14 @@
         """Twice a second: a host that is gone stops listening and drops what it has; one back listens."""
         gone = self.state().gone
         if gone and self.port is not None:
-            self.port.stopListening()
+            vanish(self.port, self.links)
             self.port = None
-            for link in list(self.links):
-                link.transport.abortConnection()
         elif not gone and self.port is None:
             self.up_ms = self.clock()
             self.listen(self.address_port)
 
     def listen(self, port: int) -> str:
-        factory = Factory.forProtocol(lambda: HostLink(self))
-        self.port = self.reactor.listenTCP(port, factory, interface="127.0.0.1")
-        self.address_port = self.port.getHost().port
+        self.port, self.address_port = listen(self.reactor, port, lambda: HostLink(self))
         return f"127.0.0.1:{self.address_port}"
 
 
--- a/granitedock/lab/running.py
+++ b/granitedock/lab/running.py
@@ -8,6 +8,7 @@
 
 import orjson
 from twisted.internet import reactor
+from twisted.internet.protocol import Factory
 
 
 def serve(said: Any) -> int:
@@ -18,3 +19,17 @@
     signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(reactor.stop))
     reactor.run(installSignalHandlers=False)
     return 0
+
+
+def listen(on: Any, port: int, make: Any) -> tuple[Any, int]:
+    """Listen on 127.0.0.1:`port` (0: any free one) with a protocol made by `make()`; the listening port and
+    its number."""
+    listening = on.listenTCP(port, Factory.forProtocol(make), interface="127.0.0.1")
+    return listening, listening.getHost().port
+
+
+def vanish(listening: Any, links: Any) -> None:
+    """Gone as a dead process is: the listener closed and every connection cut at once (RST)."""
+    listening.stopListening()
+    for link in list(links):
+        link.transport.abortConnection()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -5,6 +5,9 @@
 import sys
 from contextlib import contextmanager
 
+# One zone of one host, for the stories that need no more.
+ONE_HOST = 'length_s = 30\n[fleet]\n[[fleet.zones]]\nname = "east"\nhosts = 1\n'
+
 # A scenario must have clients; the stand-ins' stories need no more than this.
 CLIENTS = '[[clients]]\ncustomer = 1\nproduct = "read"\nplan = "p"\nrate = 1\n'
 
--- a/tests/test_lab_counter.py
+++ b/tests/test_lab_counter.py
@@ -3,17 +3,13 @@
 import socket
 import time
 
-from standins import CLIENTS, spawned
+from standins import CLIENTS, ONE_HOST, spawned
 
 from granitedock.service.counter import tally
 
 SCENARIO = (
-    """
-length_s = 30
-[fleet]
-[[fleet.zones]]
-name = "east"
-hosts = 1
+    ONE_HOST
+    + """
 [[timeline]]
 at_s = 1.0
 what = "partition"
--- a/tests/test_lab_discovery.py
+++ b/tests/test_lab_discovery.py
@@ -4,15 +4,11 @@
 import socket
 import time
 
-from standins import CLIENTS, spawned
+from standins import CLIENTS, ONE_HOST, spawned
 
 SCENARIO = (
-    """
-length_s = 30
-[fleet]
-[[fleet.zones]]
-name = "east"
-hosts = 1
+    ONE_HOST
+    + """
 [[timeline]]
 at_s = 1.0
 what = "drain"
