A PING whose client left while starting no longer faults the hand-over of tasks

Discovery is overbooked at the release, the first list came after the 1 s wait, the front's PING connection had ended meanwhile, and client_down had emptied its queue. The fault stopped open_up before hand_over, so every task taken while starting stayed unforwarded. Ruled out: the counter (answered 95-97% in time), memory and descriptors (23 MB, under 90 of 384).

At fault: reducer.py open_up filled every held PING, gone or not. Now a gone caller's PING is dropped.

--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -273,8 +273,12 @@
         return None
 
     def open_up(self, _self) -> None:
+        """Guards against a PING whose connection ended while we started (the front gives up when discovery
+        is slow to speak at a release): its queue is gone, and filling it would fault before the tasks taken
+        meanwhile are handed over, leaving every one of them to its backstop (herd+vast)."""
         for caller, reply in self.pings:
-            self.fill(caller, reply, PONG)
+            if caller.state != "gone":
+                self.fill(caller, reply, PONG)
         self.pings = []
         self.hand_over()
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -661,3 +661,18 @@
         counted(wired, lines)
     places = {lane.place.address for _, lane, _ in wired.dials}
     assert places == {"127.0.0.1:1"}
+
+
+def test_a_ping_whose_client_left_while_starting_keeps_the_tasks_taken_meanwhile():
+    # As on herd+vast: discovery is overbooked at a release, the front's PING waits, its connection goes, and
+    # the first list then found the PING's queue empty; the fault left every task taken meanwhile unforwarded.
+    wired = Wired(hosts=2)
+    lines = wired.counter_up()
+    front, client = wired.client(), wired.client()
+    front.link.dataReceived(PING)
+    wired.ask(client)
+    front.link.connectionLost()
+    wired.watch.link.dataReceived(NOTHING_NEW)
+    assert wired.reducer.state == "serving" and not wired.reducer.pings
+    counted(wired, lines)
+    assert wired.dials
