A watch turned away by an overbooked discovery is dialled ever less often, at random

Each gateway dialled again after 100 ms each time (Reducer.watch_later), so the fleet asked 336 times a second from 14 s on, harmless for one gateway and for forty a load on what is already overbooked.

Change: each miss in a row doubles the wait from 100 ms up to watch_most_ms (2 s), at a random half to whole of it from random.Random(seed), so that gateways do not come back in step; a line heard resets it. A story: ten seconds of refused watches now make 5 to 14 dials, not 100; after a line, 100 ms again.

The gateways still learn nothing of the release: that is what stays open on herd+vast.

--- a/granitedock/service/limits.py
+++ b/granitedock/service/limits.py
@@ -52,6 +52,7 @@
     counter_linger_ms: float  # and kept so long for late totals
     watch_silence_ms: float
     redial_ms: float
+    watch_most_ms: float  # a watch turned away again and again is dialled at most so seldom
     half_ms: float  # a command begun and not ended, or a first one not begun
     spoilt_ms: float  # tasks before a malformed command are waited for
     fresh_ms: float  # a client's connection that has said nothing may be closed to make room
@@ -110,6 +111,7 @@
             counter_linger_ms=10000.0,
             watch_silence_ms=3000.0,
             redial_ms=100.0,
+            watch_most_ms=2000.0,
             half_ms=1500.0,
             spoilt_ms=1500.0,
             fresh_ms=100.0,
--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -9,6 +9,7 @@
 
 from collections import Counter, deque
 from dataclasses import dataclass, field
+from random import Random
 from typing import Any
 from weakref import WeakValueDictionary
 
@@ -181,6 +182,7 @@
     state: str = "closed"
     link: Any = None
     heard_at: float = 0.0
+    misses: int = 0  # watches before it that ended without a line
 
 
 class Reducer:
@@ -221,6 +223,7 @@
         self.old_wires: dict[Wire, None] = {}
         self.redials: set[int] = set()  # numbers of connections to the counter that will be dialled again
         self.watch = Watch(0)
+        self.chance = Random(seed)
         self.known = known
         self.gateway = birth.gateway(self, now, seed, born, list(self.products.values()))
 
@@ -871,8 +874,13 @@
         advance(WATCH, self.watch, "due", self)
 
     def watch_later(self, watch: Watch) -> None:
-        self.watch = Watch(watch.version)
-        self.wake_at(self.now + self.limits.redial_ms, "watch due")
+        """Guards against a discovery that is overbooked: it turns watches away (503) while asked too often,
+        and forty gateways that each asked again every 100 ms kept it so for the rest of the day (336 dials a
+        second on herd+vast, none heard of the release). Each miss in a row doubles the wait, up to
+        `watch_most_ms`, at a random part of it, so that the gateways do not come back in step."""
+        self.watch = Watch(watch.version, misses=watch.misses + 1)
+        wait = min(self.limits.watch_most_ms, self.limits.redial_ms * 2**watch.misses)
+        self.wake_at(self.now + wait * (0.5 + 0.5 * self.chance.random()), "watch due")
 
     def watch_anew(self, watch: Watch) -> None:
         """Guards against a watch that is open and dead: without its line in time it opens again."""
@@ -887,7 +895,7 @@
     def listed(self, watch: Watch, listing: Listing | None) -> None:
         if watch is not self.watch:
             return
-        watch.heard_at = self.now
+        watch.heard_at, watch.misses = self.now, 0
         if listing is not None:
             watch.version = listing.version
             self.entries(listing)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -676,3 +676,28 @@
     assert wired.reducer.state == "serving" and not wired.reducer.pings
     counted(wired, lines)
     assert wired.dials
+
+
+def watch_dials(wired):
+    return [n for n, (_, _, down) in enumerate(wired.dials) if down == "watch down"]
+
+
+def test_an_overbooked_discovery_is_asked_ever_less_often_and_as_before_once_it_answers():
+    # As on herd+vast: discovery turns watches away while asked too often; forty gateways that asked again
+    # every 100 ms kept it so all day (336 dials a second), and none of them heard of the release.
+    wired = Wired()
+    wired.counter_up()
+    wired.watch.link.connectionLost()  # discovery sheds the watch
+    refused, end = 0, wired.now + 10000.0
+    while wired.now < end:
+        wired.pass_ms(10)
+        for n in watch_dials(wired):
+            refused += 1
+            wired.fails(n)
+    assert 5 <= refused <= 14  # not a hundred
+    wired.pass_ms(2000)
+    watch = wired.comes_up(watch_dials(wired)[0])
+    watch.link.dataReceived(NOTHING_NEW)  # it answers again
+    watch.link.connectionLost()
+    wired.pass_ms(100)
+    assert watch_dials(wired)
