A start waits no longer for discovery once it has turned three watches away in a row

Seen on herd+vast: each restarted gateway held its first tasks the whole ready_ms (1 s) for a first list, while discovery answered 503 to every watch from 2.4 s on; it had said no, and no list came later. At fault: Reducer.watch_later, which only dialled again. Now three refused watches in a row while starting go by the list as last had, as the 1 s wait would have. A story fails without it (still starting).

--- a/granitedock/service/limits.py
+++ b/granitedock/service/limits.py
@@ -53,6 +53,7 @@
     watch_silence_ms: float
     redial_ms: float
     watch_most_ms: float  # a watch turned away again and again is dialled at most so seldom
+    watch_refusals: int  # in a row while starting: the list as last had serves without waiting longer
     half_ms: float  # a command begun and not ended, or a first one not begun
     spoilt_ms: float  # tasks before a malformed command are waited for
     fresh_ms: float  # a client's connection that has said nothing may be closed to make room
@@ -112,6 +113,7 @@
             watch_silence_ms=3000.0,
             redial_ms=100.0,
             watch_most_ms=2000.0,
+            watch_refusals=3,
             half_ms=1500.0,
             spoilt_ms=1500.0,
             fresh_ms=100.0,
--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -879,6 +879,8 @@
         second on herd+vast, none heard of the release). Each miss in a row doubles the wait, up to
         `watch_most_ms`, at a random part of it, so that the gateways do not come back in step."""
         self.watch = Watch(watch.version, misses=watch.misses + 1)
+        if self.state == "starting" and self.watch.misses >= self.limits.watch_refusals:
+            self.inbox.append((self.mode, "waited"))  # discovery said no: waiting for it would be lost
         wait = min(self.limits.watch_most_ms, self.limits.redial_ms * 2**watch.misses)
         self.wake_at(self.now + wait * (0.5 + 0.5 * self.chance.random()), "watch due")
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -701,3 +701,19 @@
     watch.link.connectionLost()
     wired.pass_ms(100)
     assert watch_dials(wired)
+
+
+def test_a_start_waits_no_longer_for_a_discovery_that_turns_it_away():
+    # As on herd+vast: a restarted gateway's watches are all turned away, and its first tasks waited the whole
+    # second for a list that never came; the shortest class lost most of its time so.
+    wired = Wired()
+    lines = wired.counter_up()
+    client = wired.client()
+    wired.ask(client)
+    wired.watch.link.connectionLost()  # turned away
+    for _ in range(2):
+        wired.pass_ms(200)
+        wired.fails(watch_dials(wired)[0])
+    assert wired.reducer.state == "serving" and wired.now - 100000.0 < 500.0
+    counted(wired, lines)
+    assert wired.dials
