--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -875,9 +875,9 @@
 
     def watch_later(self, watch: Watch) -> None:
         """Guards against loading a discovery that is overbooked: on herd+vast it turns every watch away (503)
-        from 2.4 s on, and forty gateways that each asked again every 100 ms made 336 dials a second. Each miss
-        in a row doubles the wait, up to `watch_most_ms`, at a random part of it, so that the gateways do not
-        come back in step. At the start, the wait for a first list ends once, at `watch_refusals`."""
+        from 2.4 s on, and forty gateways that each asked again every 100 ms made 336 dials a second. Each
+        miss in a row doubles the wait, up to `watch_most_ms`, at a random part of it, so that gateways
+        do not come back in step. At the start, the wait for a first list ends once, at `watch_refusals`."""
         self.watch = Watch(watch.version, misses=watch.misses + 1)
         if self.state == "starting" and self.watch.misses == self.limits.watch_refusals:
             self.inbox.append((self.mode, "waited"))  # discovery said no: waiting for it would be lost
