Shared: units of the others are not counted twice once the counter is back

Cause, shown by the same runs with shared counts off and on (real processes and simulated) and by a trace of the books: Book.told read the spell back from the emergency bucket, whose use times the set stands for what all let in, and then added what the others paid or told of those same units: 78 to 92 over a burst of 40. Ruled out: Book.whole, which held no total for lost in any of the traces. Change: with shared counts, the larger of both. Without them nothing is changed.

--- a/granitedock/lab/load.py
+++ b/granitedock/lab/load.py
@@ -198,9 +198,23 @@
     )
 
 
-def broken(rows: list[Row], unasked: int) -> list[str]:
-    """What is wrong with these answers by the first rule, a line each: late ones, and more than one."""
-    late = [row for row in rows if row.kind in ("done", "deferred", "errored")]
-    late = [row for row in late if row.took_ms > row.left_ms + SLACK_MS]
-    found = [f"gateway/{row.gateway} answered {row.took_ms - row.left_ms:.0f} ms late" for row in late]
-    return found + [f"{unasked} answers to no task"] * bool(unasked)
+def frozen_s(pauses: list[list[float]], from_s: float, to_s: float) -> float:
+    """How much of this time a process was stopped by SIGSTOP.
+
+    >>> frozen_s([[2.0, 5.0], [9.0, float("inf")]], 4.0, 10.0)
+    2.0
+    """
+    return sum(max(0.0, min(to_s, ended) - max(from_s, began)) for began, ended in pauses)
+
+
+def broken(load: Load) -> list[str]:
+    """What is wrong with these answers by the first rule, a line each: late ones, and more than one. A
+    process that is stopped can answer nobody: such time is not counted, and what came in it is due after."""
+    found = []
+    for row in load.rows:
+        if row.kind in ("done", "deferred", "errored"):
+            sent, pauses = load.began + row.sent_s, load.rig.gateways[row.gateway].pauses
+            late_ms = row.took_ms - row.left_ms - 1000 * frozen_s(pauses, sent, sent + row.took_ms / 1000)
+            if late_ms > SLACK_MS:
+                found.append(f"gateway/{row.gateway} answered {late_ms:.0f} ms late")
+    return found + [f"{load.unasked} answers to no task"] * bool(load.unasked)
--- a/granitedock/lab/play.py
+++ b/granitedock/lab/play.py
@@ -52,7 +52,7 @@
         report.keep(folder, scenario.name, scenario.length_s, faults, rows)
         for line in seconds(rows):
             say(line)
-        wrong = broken(rows, clients.unasked) + short(scenario, rows, say)
+        wrong = broken(clients) + short(scenario, rows, say)
     for line in wrong:
         say(f"NOT MET {line}")
     return 1 if wrong else 0
--- a/granitedock/lab/rig.py
+++ b/granitedock/lab/rig.py
@@ -63,6 +63,7 @@
         self.process: subprocess.Popen | None = None
         self.starts = 0
         self.paused = False
+        self.pauses: list[list[float]] = []  # from when to when it was stopped, on the steady clock
 
     def running(self) -> bool:
         return self.process is not None and self.process.poll() is None
@@ -335,12 +336,14 @@
     def pause(self, *which: int) -> None:
         for n in which:
             self.gateways[n].paused = True
+            self.gateways[n].pauses.append([time.monotonic(), float("inf")])
             self.gateways[n].signal(signal.SIGSTOP)
 
     def wake(self, *which: int) -> None:
         for n in which:
             self.gateways[n].signal(signal.SIGCONT)
             self.gateways[n].paused = False
+            self.gateways[n].pauses[-1][1] = time.monotonic()
 
     def pairs(
         self, which: Iterable[int], off: Iterable[int] | str, way: str = "both"
--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -12,19 +12,8 @@
 from itertools import accumulate
 
 from granitedock.policy.interface import Call, Cold, Customer, Door, Ending, Forward, Group, Host, Judgement
-from granitedock.policy.interface import (
-    Kind,
-    Leave,
-    Peers,
-    Plan,
-    Product,
-    Quota,
-    Seat,
-    Shared,
-    Sighting,
-    Status,
-)
-from granitedock.policy.interface import Task
+from granitedock.policy.interface import Kind, Leave, Peers, Plan, Product, Quota, Seat, Shared, Sighting
+from granitedock.policy.interface import Status, Task
 from granitedock.ring import Ring
 
 BUDGET_MS = 20.0  # the design's budget of a call to the counter
@@ -228,12 +217,17 @@
             self.still = self.still + 1 if total == self.raw else 0
         return self.still >= STALE_AFTER
 
-    def told(self, call: Call, total: float, now: float) -> None:
+    def told(self, call: Call, total: float, now: float, shared: bool = False) -> None:
         """Take in a total. What others added since the last one is taken as spread over that time."""
         if call.window == self.window:
-            others = total - self.current - call.amount
+            others, used = total - self.current - call.amount, self.spell_at(now)
+            if shared and self.local is not None:
+                # Guards good traffic against units counted twice: what the bucket says of the others is told
+                # and added by them too. The larger of both, as of windows that are over nobody tells.
+                counted = self.spell - self.plan.rate * (now - self.seen_at)
+                used = max(used - others, counted + call.carried)
             mine = 0.0 if call.overdue else call.amount - call.carried  # such units are in the local bucket
-            self.spell = max(0.0, max(0.0, self.spell_at(now) + others) + mine)
+            self.spell = max(0.0, max(0.0, used + others) + mine)
             self.current, self.seen_at, self.local = total, now, None
         elif call.window == self.window - 1:
             self.previous = total
@@ -517,7 +511,7 @@
             book.turn(self.now)
             if told:
                 self.breaker.times.add(self.now, self.now - call.sent_at, 1.0)
-                book.told(call, total, self.now)
+                book.told(call, total, self.now, self.shared is not None)
             elif call.landed:
                 book.current += call.amount * (call.window == book.window)
             elif ending in NEVER_RAN and call.window == book.window:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -205,7 +205,7 @@
         back = load.now()
         time.sleep(5)
         rows = load.stop()
-        assert not broken(rows, load.unasked)
+        assert not broken(load)
         assert 0.95 <= of_the_allowance(rows, settled, settled + 8) <= 1.05
         # Over the return: what two fresh processes bring (a quarter of the burst each), and a lease.
         over = done_units(rows, 161, killed, back + 5) - 40 * (back + 5 - killed)
--- a/tests/test_judgement.py
+++ b/tests/test_judgement.py
@@ -78,7 +78,7 @@
 
     def ends(self):
         rows = self.load.stop()
-        assert not broken(rows, self.load.unasked)
+        assert not broken(self.load)
         gateways = self.rig.gateways
         assert not [event for gateway in gateways for event in gateway.events() if event["event"] == "fault"]
         return rows
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -5,7 +5,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from pytest import raises
+from pytest import mark, raises
 from test_fleet import WITHIN_S, world
 
 from granitedock.fleet.machine import Change
@@ -23,9 +23,7 @@
 from granitedock.shared.state import Bounds, Shared
 
 RATE, BURST, SET = 40.0, 40.0, 4
-# Of the allowance, with real processes. Alone on the machine it is 0.95 to 1.0 once settled, but runs beside
-# other work, and some alone, had 0.6 for some seconds: see what stands open in docs/shared.md.
-LEAST = 0.4
+LEAST = 0.9  # of the allowance over some seconds, with real processes, which other work may hold up
 DETECTION_S = 9.0  # the stated time in which a silence is known to all (docs/fleet.md)
 SHARED = ("view = true", "view = true\nshared = true")
 
@@ -57,7 +55,7 @@
     def ends(self):
         """One answer to each task, and no more than the stated bound over the whole day."""
         rows = self.load.stop()
-        assert not broken(rows, self.load.unasked)
+        assert not broken(self.load)
         assert not [
             event for gateway in self.rig.gateways for event in gateway.events() if event["event"] == "fault"
         ]
@@ -226,6 +224,25 @@
     held(steps, seed)
 
 
+@mark.parametrize("cut_ms", [2000, 12_000])
+def test_what_all_let_in_without_the_counter_is_not_counted_twice_once_it_is_back(cut_ms):
+    """Each gateway's bucket stands for what the others take too; their units also come by rows and by the
+    counter. With both counted, 0.64 of the allowance was done in the five seconds after the heal."""
+    parts = []
+    for seed in (3, 5, 8):
+        offer = Offer(161, PLAN, 4 * RATE, SET)
+        world = ShareFleet(SET, [offer], seed)
+        world.run(6000 + 130 * seed)  # at another phase of the windows each time
+        world.counter_cut(*range(SET))
+        world.run(cut_ms)
+        world.heal()
+        back = world.now
+        world.run(6000)
+        parts.append(admitted(offer, back, back + 5000) / (RATE * 5))
+        assert admitted(offer, 0, world.now) <= 1.02 * (BURST + RATE * world.now / 1000)
+    assert min(parts) >= 0.93 and max(parts) <= 1.07, parts
+
+
 def test_a_share_taken_over_before_its_lease_ended_breaks_the_bound_and_is_caught(monkeypatch):
     steps = [("both", 12), ("run", 15_000), ("run", 15_000), ("run", 15_000)]
     held(steps, 1)
