--- a/granitedock/lab/hosts.py
+++ b/granitedock/lab/hosts.py
@@ -60,7 +60,7 @@
 
     def came(self, link: HostLink, task: int) -> None:
         self.seen += 1
-        link.out = seen = Seen(task, self.name, time.monotonic())
+        link.out = seen = Seen(task, self.name, time.monotonic(), port=link.transport.getPeer().port)
         self.record.append(seen)
         if self.busy >= self.zone.slots:
             if len(self.waiting) >= self.zone.queue:
--- a/granitedock/lab/rules.py
+++ b/granitedock/lab/rules.py
@@ -26,6 +26,7 @@
     at_s: float
     until_s: float = inf
     kind: str = "out"
+    port: int = 0  # of the other end of the connection it came on
 
 
 @dataclass(slots=True)
