Load: a task that is open when the load ends stays open, so that a lost answer is told

Change: what our own end leaves open stays open. Cause seen in LoadLink.connectionLost; no gateway is involved.

--- a/granitedock/lab/load.py
+++ b/granitedock/lab/load.py
@@ -89,8 +89,10 @@
         links, again = self.load.links[self.gateway], []
         links.remove(self)
         for row, clients, before in self.waiting:
-            if before or not self.load.on or (self.load.now() - row.sent_s) * 1000.0 > row.left_ms:
-                row.kind, row.ended = "lost", not self.load.on
+            if not self.load.on:
+                continue  # we ended it, after its time was up: it stays open
+            if before or (self.load.now() - row.sent_s) * 1000.0 > row.left_ms:
+                row.kind = "lost"
             else:
                 again.append((row, clients))
         if again:
