Read again: dead lines out of the operators' file, the load benchmark and the model

Need: reading the whole change once more. An import and export that nobody used, a call that did nothing, and a list defined after its use. Change: those are gone. A task that is sent once more states at least a millisecond, as its time may run out while the new connection comes up, and the gateways rightly refuse a negative one.

--- a/benchmarks/load_tool.py
+++ b/benchmarks/load_tool.py
@@ -19,7 +19,6 @@
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from granitedock.lab.load import Load, broken  # noqa: E402
-from granitedock.lab.rig import on_loop  # noqa: E402
 from granitedock.lab.scenario import parse  # noqa: E402
 
 SECONDS = 5.0
@@ -63,7 +62,6 @@
         double.start()
     try:
         load = Load(scenario(rate, gateways), [said.get(timeout=20) for _ in doubles])
-        on_loop(lambda: None)
         load.start()
         cpu, began = time.process_time(), time.monotonic()
         time.sleep(SECONDS)
--- a/granitedock/lab/load.py
+++ b/granitedock/lab/load.py
@@ -106,7 +106,7 @@
     text = b"c=%b,t=%b,d=%d,units=%g,spread=%d,first=%d%b" % (
         clients.product.encode(),
         clients.plan.encode(),
-        left_ms,
+        max(1.0, left_ms),
         clients.units,
         clients.spread,
         clients.first,
--- a/granitedock/model/still.py
+++ b/granitedock/model/still.py
@@ -13,6 +13,7 @@
 Name = tuple[Any, ...]
 _kept: dict[Name, Any] = {}
 _names: dict[int, Name] = {}
+_held: list[Any] = []
 _makers: dict[str, Callable[[Any], None]] = {}
 
 
@@ -29,9 +30,6 @@
         _held.append(thing)  # an id tells it only as long as it lives
 
 
-_held: list[Any] = []
-
-
 def kept(*name: Any) -> Any:
     if name not in _kept:
         _makers[name[0]](name[1])
--- a/granitedock/service/operators.py
+++ b/granitedock/service/operators.py
@@ -14,7 +14,7 @@
 from pydantic import Field
 
 from granitedock.service.limits import Limits
-from granitedock.tomlfile import FileError, Strict, checked, read
+from granitedock.tomlfile import Strict, checked, read
 
 Ms = Annotated[float, Field(ge=1, le=600_000)]
 
@@ -58,6 +58,3 @@
 def load(path: str | Path) -> Operators:
     """Read and check the file. Raises FileError."""
     return checked(read(path), str(path), Operators, crossed)
-
-
-__all__ = ["FileError", "Operators", "load"]
