Shutdown answers and ends each client connection before the process leaves

Ruled out: requests read and dropped after our half-close (none in the trace), the accept queue (closed long before).

Changed: the lifecycle stands in service/lifecycle.py; once the door is shut a request is refused at once, each connection ends when its answers are written and nothing lies unread on it, and the process waits for its clients' ends within a bound before SIGKILL. A dial that comes up after its client left, its answer was given, its host began to drain or its keyed window passed writes nothing. Long answers and commands on slow lines count from their last progress, within a bound. A client that reads nothing is read on far enough to see its end. Signals that come while the process starts act once it runs. A gateway with no known hosts is ready after 5 s.

Tests renamed states: a watch that is up without a line is `asked`, no longer `open`, and the test says both. The model's test of the ways it reaches looks at 1,600 states instead of 800: attempts that are called off take ways of their own.

--- a/granitedock/model/gateways.py
+++ b/granitedock/model/gateways.py
@@ -117,6 +117,7 @@
     open: bool = True
     deaf: bool = False  # nothing written to it arrives whole
     carries: tuple[str, int] | None = None  # the forward that is out on it
+    got: int = 0
 
     def send(self, data: bytes, at_once: bool = True) -> None:
         if self.kind == "client":
@@ -144,8 +145,16 @@
     def half(self) -> bool:
         return False
 
-    def look(self) -> None:
+    def look(self, then: str) -> None:
         """There is never a command that lies unread here."""
+        if self.open:
+            self.gate.soon.append((then, self.record))
+
+    def read_on(self) -> None:
+        """All is read here."""
+
+    def lies_unread(self) -> bool:
+        return False
 
 
 @dataclass(slots=True)
--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -680,7 +680,9 @@
             return "nowhere"
         if not task.forwards and book.ceiling is not None and not book.ceiling.take(task.units, self.now):
             return "nowhere"
-        forward = Forward(task, host, self.now, len(host.health.outs))
+        forward, ran = Forward(task, host, self.now, len(host.health.outs)), self.may_have_run(task)
+        if ran is not None and MAY_HAVE_RUN[task.product.kind][0] == "group":
+            forward.begin_by = ran.sent_at + task.product.group_ms  # guards against a dial that outlasts it
         task.forwards.append(forward)
         task.out += 1
         book.out += 1
--- a/granitedock/policy/interface.py
+++ b/granitedock/policy/interface.py
@@ -151,6 +151,7 @@
     sent_at: float
     queue_at_send: int
     ending: Ending | None = None
+    begin_by: float = float("inf")  # the latest moment at which its first byte may leave
 
 
 @dataclass(eq=False, slots=True)
--- a/granitedock/service/clients.py
+++ b/granitedock/service/clients.py
@@ -10,7 +10,11 @@
 from dataclasses import dataclass
 from typing import Any
 
+from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import Factory
+from twisted.python.failure import Failure
+from zope.interface import implementer
 
 from granitedock.service.limits import Limits
 from granitedock.service.resp import RespReceiver, bulk, unread, whole
@@ -107,6 +111,7 @@
         raise Unreadable(f"task not readable: {fault}") from None
 
 
+@implementer(IHalfCloseableProtocol)
 class ClientLink(RespReceiver):
     """One connection of a client. It stops reading while the client leaves answers unread."""
 
@@ -127,13 +132,17 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Guards the processor against peers that go on sending to a connection that is over: some is read
-        and dropped, so that what was written there can still be read, and then no more."""
+        and dropped between two sweeps, and then no more, so that what is owed there can still be answered
+        and read. A client that leaves answers unread is read a little further, so that its end is seen."""
         if self.deaf:
+            self.got += len(data)
             self.dropped += len(data)
             if self.dropped > self.limits.unread:
-                self.abort()
+                self.transport.pauseProducing()
             return
         super().dataReceived(data)
+        if self.paused and not self.deaf and len(self._buffer) > self.limits.whole:
+            self.transport.pauseProducing()
 
     def received(self, value: Any, parts: list[bytes]) -> None:
         if type(value) is not list or not value or type(value[0]) is not bytes:
@@ -153,7 +162,9 @@
         self.tell("malformed", self.record, why)
 
     def pauseProducing(self) -> None:
-        super().pauseProducing()
+        """What comes is kept and not looked at. Guards against an end that is not seen: where nothing at all
+        is read, a client that has gone looks like one that is slow."""
+        self.paused = True
         self.tell("client choked", self.record)
 
     def resumeProducing(self) -> None:
@@ -180,10 +191,26 @@
         self.deaf = True
         self.transport.abortConnection()
 
-    def look(self) -> None:
-        """Whether it has said no whole command still, or lies unread as we have been slow."""
-        if not unread(self.transport):
-            self.tell("client silent", self.record)
+    def read_on(self) -> None:
+        """A deaf connection that was read no further is read again, so that its end is seen."""
+        if self.dropped > self.limits.unread:
+            self.dropped = 0
+            self.transport.resumeProducing()
+
+    def look(self, then: str) -> None:
+        """Tell this if nothing lies unread: guards commands that came while we were slow against our end of
+        the connection, and answers against the reset that a close over unread bytes brings."""
+        if self.transport.connected and not unread(self.transport):
+            self.tell(then, self.record)
+
+    # What the transport tells of half closes.
+
+    def writeConnectionLost(self) -> None:
+        self.tell("client closed", self.record)
+
+    def readConnectionLost(self) -> None:
+        """The client's end is the connection's end."""
+        self.transport.connectionLost(Failure(ConnectionDone()))
 
 
 class ClientDoor(Factory):
--- a/granitedock/service/discovery.py
+++ b/granitedock/service/discovery.py
@@ -14,9 +14,12 @@
 
 from granitedock.policy.interface import Status
 from granitedock.service.limits import Limits
+from granitedock.service.resp import unread
 
 STATUSES = {"in_service": Status.READY, "terminating": Status.DRAINING, "terminated": Status.GONE}
 
+INDENTS = (b" ", b"\t", b"\r", b"")  # how a line begins that can't end a list
+
 
 class Entry(NamedTuple):
     """One line of the list."""
@@ -70,7 +73,9 @@
     def __init__(self, tell, address: str, limits: Limits) -> None:
         self.tell, self.address, self.most = tell, address, limits.document
         self.http = h11.Connection(h11.CLIENT)
-        self.line = b""
+        self.line = b""  # what has no line end yet
+        self.document = b""  # lines of a list that has begun and not ended
+        self.spoilt = False
 
     def connectionMade(self) -> None:
         ask = h11.Request(
@@ -85,27 +90,54 @@
         self.tell("watch down", self.record)
 
     def dataReceived(self, data: bytes) -> None:
+        """Guards against a list that makes no sense, an answer that is none, and one that never ends: the
+        list we have stands, the watch opens again, and what was wrong is told. A reset is no end: of a list
+        that is cut short nothing is taken."""
+        if self.spoilt:
+            return
         try:
             self.http.receive_data(data)
             while (event := self.http.next_event()) is not h11.NEED_DATA:
                 if isinstance(event, h11.Response) and event.status_code != 200:
-                    self.abort()
-                    return
+                    raise ValueError(f"status {event.status_code}")
                 if isinstance(event, h11.Data):
                     self.lines(bytes(event.data))
                 elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
                     self.abort()
                     return
-        except (h11.RemoteProtocolError, ValueError, KeyError, TypeError, AttributeError):
-            # Guards against a list that makes no sense: the one we have stands, and the watch opens again.
+        except (h11.RemoteProtocolError, ValueError, KeyError, TypeError, AttributeError) as fault:
+            self.spoilt = True
+            self.tell("watch spoilt", self.record, f"{type(fault).__name__}: {fault}")
             self.abort()
+            return
+        if self.line or self.document:
+            self.tell("watch begun", self.record)
 
     def lines(self, data: bytes) -> None:
         *whole, self.line = (self.line + data).split(b"\n")
-        if len(self.line) > self.most:
-            raise ValueError("line too long")
         for line in whole:
-            self.tell("listed", self.record, listing(orjson.loads(line)) if line.strip() else None)
+            if self.document or line.strip():
+                self.document += line + b"\n"
+                if line[:1] not in INDENTS:
+                    self.ended()
+            else:
+                self.tell("listed", self.record, None)
+        if len(self.line) + len(self.document) > self.most:
+            raise ValueError("list too long")
+
+    def ended(self) -> None:
+        """A line that is not indented may end a list; one that lacks more is waited for."""
+        try:
+            told = orjson.loads(self.document)
+        except orjson.JSONDecodeError as fault:
+            if fault.pos >= len(self.document):
+                return
+            raise
+        self.document = b""
+        self.tell("listed", self.record, listing(told))
+
+    def lies_unread(self) -> bool:
+        return unread(self.transport)
 
     def abort(self) -> None:
         self.transport.abortConnection()
--- a/granitedock/service/limits.py
+++ b/granitedock/service/limits.py
@@ -45,24 +45,30 @@
     host_idle_ms: float  # a connection to a host is closed when idle so long, before the host does
     wary_ms: float  # kept ones are not trusted with what can't be repeated, after one was cut in use
     settle_ms: float  # and used again no sooner after an answer, for what may follow behind
-    answer_ms: float  # an answer begun and not ended
+    answer_ms: float  # an answer begun and not ended, since its last bytes
+    answer_most_ms: float  # and since its first ones
     total_ms: float  # and one of the counter, which is a line
     counter_ping_ms: float  # an idle connection to the counter is used at least so often
     counter_silence_ms: float  # with calls waiting, it is taken for dead after this
     counter_linger_ms: float  # and kept so long for late totals
-    watch_silence_ms: float
+    watch_silence_ms: float  # a watch without a line for so long is dead
+    watch_first_ms: float  # and one that came up, without its first line
     redial_ms: float
     watch_most_ms: float  # a watch turned away again and again is dialled at most so seldom
     watch_refusals: int  # in a row while starting: the list as last had serves without waiting longer
-    half_ms: float  # a command begun and not ended, or a first one not begun
+    half_ms: float  # a command begun and not ended, since its last bytes, or a first one not begun
+    half_most_ms: float  # and since it was first found so
     spoilt_ms: float  # tasks before a malformed command are waited for
     fresh_ms: float  # a client's connection that has said nothing may be closed to make room
     rest_ms: float  # one without a command for so long since its last answer is closed
     close_ms: float  # we have closed our side of a connection, the client not its own
+    flush_ms: float  # answers are written to a connection that is to close, and not read
     margin_ms: float  # answers leave so long before the client's time is up
-    ready_ms: float  # the longest wait for a first list at start
+    ready_ms: float  # the longest wait for a first list at start, where there is an old one
+    ready_most_ms: float  # and without one, from the process's birth
     open_ms: float  # after SIGTERM new connections are taken for so long
     leave_ms: float  # after SIGTERM all is answered by then
+    leave_most_ms: float  # and the process ends, read or not
     sweep_ms: float
 
     @classmethod
@@ -106,22 +112,28 @@
             wary_ms=5000.0,
             settle_ms=5.0,
             answer_ms=250.0,
+            answer_most_ms=2000.0,
             total_ms=50.0,
             counter_ping_ms=3000.0,
             counter_silence_ms=1000.0,
             counter_linger_ms=10000.0,
-            watch_silence_ms=3000.0,
+            watch_silence_ms=2500.0,
+            watch_first_ms=800.0,
             redial_ms=100.0,
-            watch_most_ms=2000.0,
+            watch_most_ms=1500.0,
             watch_refusals=3,
             half_ms=1500.0,
+            half_most_ms=5000.0,
             spoilt_ms=1500.0,
             fresh_ms=100.0,
             rest_ms=2000.0,
             close_ms=300.0,
+            flush_ms=5000.0,
             margin_ms=8.0,
             ready_ms=1000.0,
+            ready_most_ms=5000.0,
             open_ms=500.0,
-            leave_ms=min(longest, 3000.0) + 550.0,
+            leave_ms=min(longest, 3000.0) + 480.0,
+            leave_most_ms=min(longest, 3000.0) + 590.0,
             sweep_ms=100.0,
         )
--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -19,24 +19,17 @@
 from granitedock.service.clients import Ask
 from granitedock.service.counter import PING, tally
 from granitedock.service.discovery import Listing
+from granitedock.service.lifecycle import Lifecycle
 from granitedock.service.limits import Limits
 from granitedock.service.resp import bulk
+from granitedock.service.watch import DiscoveryWatch, Watch
 
 PONG = b"+PONG\r\n"
+CLOSING = b"-ERR closing\r\n"
 ERRORED = b"-ERR failed\r\n"
 
 # States and inputs give the next state and an effect, as in the decisions.
 
-MODE = {
-    ("starting", "listed"): ("serving", "open_up"),
-    ("starting", "waited"): ("starting", "go_by_known"),
-    ("starting", "ending"): ("draining", "stay_open"),
-    ("serving", "ending"): ("draining", "stay_open"),
-    ("draining", "shut"): ("closing", "shut_door"),
-    ("closing", "idle"): ("ended", "leave"),
-    ("closing", "overdue"): ("ended", "answer_rest"),
-}
-
 HOST_LINK = {
     ("dialling", "up"): ("writing", "write"),
     ("dialling", "down"): ("gone", "never_ran"),
@@ -51,6 +44,7 @@
     ("writing", "down"): ("gone", "never_ran"),
     ("writing", "late"): ("gone", "cut_short"),
     ("writing", "withdrawn"): ("gone", "cut_short"),
+    ("writing", "unwanted"): ("gone", "unsent"),  # not a byte of it was written
     ("out", "answered"): ("idle", "rest"),
     ("out", "overfull"): ("gone", "abort"),  # more came than the answer
     ("out", "malformed"): ("gone", "broke_off"),
@@ -82,17 +76,6 @@
     ("gone", "up"): ("gone", "abort"),
 }
 
-WATCH = {
-    ("closed", "due"): ("dialling", "dial_watch"),
-    ("dialling", "up"): ("open", None),
-    ("dialling", "down"): ("closed", "watch_later"),
-    ("dialling", "moved"): ("left", "watch_there"),
-    ("open", "down"): ("closed", "watch_later"),
-    ("open", "silent"): ("left", "watch_anew"),
-    ("open", "moved"): ("left", "watch_anew"),
-    ("left", "up"): ("left", "abort"),  # its dial was under way when another took its place
-}
-
 
 @dataclass(eq=False, slots=True)
 class Wake:
@@ -127,6 +110,9 @@
     spoke: bool = False  # a task, in form
     rested_at: float = 0.0  # when it came, or last got an answer
     closing_since: float = 0.0
+    closed_at: float | None = None  # when our end was written; None while answers are not
+    got: int = 0  # bytes that had come when half a command was last looked at
+    moved_at: float = 0.0  # and when that was more than before
     state: str = "up"
 
 
@@ -176,15 +162,6 @@
     old_since: float = 0.0
 
 
-@dataclass(eq=False, slots=True)
-class Watch:
-    version: int
-    state: str = "closed"
-    link: Any = None
-    heard_at: float = 0.0
-    misses: int = 0  # watches before it that ended without a line
-
-
 class Reducer:
     """Inputs in, effects out. An effect is a function with its arguments."""
 
@@ -205,7 +182,7 @@
         self.counts: Counter[str] = diary.counts
         self.effects: list[tuple] = []
         self.inbox: deque[tuple] = deque()
-        self.state = "starting"
+        self.lifecycle = Lifecycle(self)
         self.products = {product.name: product for product in birth.products(born)}
         self.plans = {plan.name: plan for plan in birth.plans(born)}
         self.customers: WeakValueDictionary[int, Customer] = WeakValueDictionary()
@@ -222,7 +199,7 @@
         self.wires: list[Wire | None] = [None] * limits.counter_links
         self.old_wires: dict[Wire, None] = {}
         self.redials: set[int] = set()  # numbers of connections to the counter that will be dialled again
-        self.watch = Watch(0)
+        self.discovery = DiscoveryWatch(self)
         self.chance = Random(seed)
         self.known = known
         self.judge: Any = (
@@ -259,35 +236,28 @@
         if self.known is not None:
             self.entries(self.known)
             self.watch.version = self.known.version
-        advance(WATCH, self.watch, "due", self)
+        self.discovery.due()
         if self.gateway.has_counter:
             for number in range(self.limits.counter_links):
                 self.wire(number)
-        self.wake_at(self.now + self.limits.ready_ms, "mode", "waited")
+        self.lifecycle.begin()
         self.wake_at(self.now + self.limits.sweep_ms, "sweep")
 
+    @property
+    def state(self) -> str:
+        return self.lifecycle.state
+
     def mode(self, signal: str) -> None:
-        before = self.state
-        advance(MODE, self, signal, self)
-        if self.state != before:
-            self.diary.event("mode", was=before, now=self.state, tasks=len(self.errands))
-
-    def go_by_known(self, _self) -> str | None:
-        """Guards against discovery that is down at the start: an old list serves, no list at all does not."""
-        if self.places:
-            return "listed"
-        self.wake_at(self.now + self.limits.ready_ms, "mode", "waited")
-        return None
+        self.lifecycle.signal(signal)
 
-    def open_up(self, _self) -> None:
+    def answer_pings(self, answer: bytes) -> None:
         """Guards against a PING whose connection ended while we started (the front gives up when discovery
         is slow to speak at a release): its queue is gone, and filling it would fault before the tasks taken
         meanwhile are handed over, leaving every one of them to its backstop (herd+vast)."""
         for caller, reply in self.pings:
             if caller.state != "gone":
-                self.fill(caller, reply, PONG)
+                self.fill(caller, reply, answer)
         self.pings = []
-        self.hand_over()
 
     def hand_over(self) -> None:
         """Guards against forwards by a list that is old: a process that starts again is handed the list as
@@ -300,27 +270,6 @@
             if errand in self.errands:
                 self.gateway.take(errand)
 
-    def stay_open(self, _self) -> None:
-        self.hand_over()
-        self.wake_at(self.now + self.limits.open_ms, "mode", "shut")
-        self.wake_at(self.now + self.limits.leave_ms, "mode", "overdue")
-
-    def shut_door(self, _self) -> str | None:
-        self.do(self.doors.shut)
-        for caller in list(self.callers):
-            if not caller.queue:
-                self.hang_up(caller)
-        return None if self.callers else "idle"
-
-    def answer_rest(self, _self) -> str | None:
-        """Guards against a stop that finds tasks in hand: an error promises nothing, and comes in time."""
-        for errand in list(self.errands):
-            self.error(errand)
-        return self.leave(self)
-
-    def leave(self, _self) -> None:
-        self.do(self.doors.leave)
-
     # Clients.
 
     def client_up(self, link: Any) -> None:
@@ -347,13 +296,11 @@
             for caller in self.callers
             if caller.state == "up"
             and not caller.queue
+            and not caller.choked
             and caller.rested_at <= (rested if caller.spoke else came)
         ]
         for caller in sorted(idle, key=lambda caller: (caller.spoke, caller.rested_at))[:most]:
-            if caller.spoke:
-                self.part_with(caller)
-            else:
-                self.do(caller.link.look)
+            self.do(caller.link.look, "client rested" if caller.spoke else "client silent")
 
     def client_silent(self, caller: Caller) -> None:
         if caller.state == "up" and not caller.spoke:
@@ -386,17 +333,41 @@
             elif waiting.answer is not None:
                 self.held -= len(waiting.answer)
         caller.queue.clear()
-        if self.state == "closing" and not self.callers:
+        if self.lifecycle.shutting and not self.callers:
             self.inbox.append((self.mode, "idle"))
 
     def hang_up(self, caller: Caller) -> None:
-        caller.state, caller.closing_since = "closing", self.now
+        """Our side ends once all that was answered is written; how long that may take is the reader's bound,
+        and from then on (`client_closed`) the client has to end its own."""
+        caller.state, caller.closing_since, caller.closed_at = "closing", self.now, None
         self.do(caller.link.close)
 
-    def part_with(self, caller: Caller) -> None:
-        self.counts["client_links_rested"] += 1
-        caller.state, caller.closing_since = "closing", self.now
-        self.do(caller.link.end)
+    def client_closed(self, caller: Caller) -> None:
+        """All is written, and our end with it."""
+        caller.closed_at = self.now
+
+    def client_rested(self, caller: Caller) -> None:
+        if caller.state == "up" and not caller.queue:
+            self.counts["client_links_rested"] += 1
+            caller.state, caller.closing_since, caller.closed_at = "closing", self.now, self.now
+            self.do(caller.link.end)
+
+    def offer_end(self, caller: Caller) -> None:
+        """While the process shuts: a connection that waits for nothing ends, unless bytes of the client's lie
+        unread, which are read first. Guards requests that cross our end: one that we have read is
+        answered."""
+        if caller.state == "up" and not caller.queue:
+            self.do(caller.link.look, "client idle")
+
+    def client_idle(self, caller: Caller) -> None:
+        if caller.state == "up" and not caller.queue and self.lifecycle.shutting:
+            # Half a command, or a connection that has only just come: the rest may be on its way.
+            if caller.link.half():
+                caller.half_since = since = caller.half_since or self.now
+            else:
+                since = float("-inf") if caller.spoke else caller.rested_at
+            if self.now - since > self.limits.fresh_ms:
+                self.hang_up(caller)
 
     def command(self, caller: Caller, name: bytes) -> None:
         if caller.state != "up" or self.crowded(caller):
@@ -407,7 +378,7 @@
             if self.state == "starting":
                 self.pings.append((caller, reply))
             else:
-                self.fill(caller, reply, PONG if self.state != "closing" else b"-ERR closing\r\n")
+                self.fill(caller, reply, CLOSING if self.lifecycle.shutting else PONG)
         elif name == b"INFO":
             self.fill(caller, reply, bulk(b"".join(b"%b:%d\r\n" % pair for pair in self.figures())))
         elif name in (b"CLIENT", b"SELECT"):
@@ -473,11 +444,14 @@
         self.ids[ask.id] = errand
         self.held += errand.size
         if (
-            len(self.errands) > self.limits.tasks
+            self.lifecycle.shutting
+            or len(self.errands) > self.limits.tasks
             or self.held > self.limits.held
             or len(caller.queue) > self.limits.queue
         ):
-            # Guards the memory: the decisions give it up, as one that was never forwarded.
+            # Guards the memory, and what is asked of a process that shuts, behind an answer that is still
+            # due: it may be gone before this one is answered. The decisions give it up, as one never
+            # forwarded.
             self.gateway.book(errand).turn(self.now)
             errand.state = "over"
             self.gateway.give_up(errand)
@@ -524,8 +498,10 @@
                 self.counts["slow_readers"] += 1
                 self.do(caller.link.abort)  # guards the memory against clients that read nothing
                 return
-        if not queue and (caller.state == "spoilt" or self.state == "closing"):
+        if not queue and caller.state == "spoilt":
             self.hang_up(caller)
+        elif not queue and self.lifecycle.shutting:
+            self.offer_end(caller)
 
     def finish(self, errand: Errand, answer: bytes) -> None:
         caller = errand.caller
@@ -642,14 +618,20 @@
         advance(HOST_LINK, lane, "malformed", self)
 
     def host_begun(self, lane: Lane) -> None:
-        """Guards against answers that begin and never end: hosts write them in one go."""
+        """Guards against answers that begin and never end. It counts from the last bytes that came, as long
+        answers on slow lines take their time; the whole is bounded, against answers that only trickle."""
         if lane.forward is not None:
-            self.wake_at(self.now + self.limits.answer_ms, "stalled", lane, lane.forward)
+            after = self.now + self.limits.answer_ms
+            self.wake_at(after, "stalled", lane, lane.forward, lane.link.got, self.now)
         self.host(lane, "begun")
 
-    def stalled(self, lane: Lane, forward: Forward) -> None:
-        if lane.forward is forward and lane.link.half():
+    def stalled(self, lane: Lane, forward: Forward, got: int, begun_at: float) -> None:
+        if lane.forward is not forward or not lane.link.half():
+            return
+        if lane.link.got == got or self.now - begun_at > self.limits.answer_most_ms:
             self.host_malformed(lane, "answer not ended")
+        else:
+            self.wake_at(self.now + self.limits.answer_ms, "stalled", lane, forward, lane.link.got, begun_at)
 
     def dial_anew(self, lane: Lane) -> None:
         self.counts["host_stale"] += 1
@@ -677,9 +659,21 @@
             over = True
         self.gateway.ended(forward, ending, self.now - forward.sent_at, over, units, used)
 
-    def write(self, lane: Lane) -> None:
-        errand, left_ms = lane.forward.task, lane.stop_at - self.now
+    def write(self, lane: Lane) -> str | None:
+        """Guards against what changed while the connection came up: the client left or has its answer, the
+        host began to drain, or the time is over in which a keyed request may be repeated. Nothing is sent
+        then."""
+        forward, place = lane.forward, lane.place
+        errand, left_ms = forward.task, lane.stop_at - self.now
+        if errand.answer is not None or place.status is not Status.READY or self.now >= forward.begin_by:
+            return "unwanted"
         self.do(lane.link.send, errand.ask.within(left_ms), len(errand.forwards) == 1)
+        return None
+
+    def unsent(self, lane: Lane) -> None:
+        self.counts["unwanted"] += 1
+        self.do(lane.link.abort)
+        self.never_sent(lane)
 
     def rest(self, lane: Lane) -> str | None:
         lane.forward, lane.idle_since = None, self.now
@@ -870,45 +864,13 @@
 
     # Discovery.
 
-    def dial_watch(self, watch: Watch) -> None:
-        self.counts["watches"] += 1
-        self.do(self.doors.dial_watch, watch)
-
-    def watch_signal(self, watch: Watch, signal: str) -> None:
-        advance(WATCH, watch, signal, self)
-
-    def watch_up(self, watch: Watch, link: Any) -> None:
-        watch.link, watch.heard_at = link, self.now
-        self.watch_signal(watch, "up")
-
-    def watch_due(self) -> None:
-        advance(WATCH, self.watch, "due", self)
-
-    def watch_later(self, watch: Watch) -> None:
-        """Guards against loading a discovery that is overbooked: on herd+vast it turns every watch away (503)
-        from 2.4 s on, and forty gateways that each asked again every 100 ms made 336 dials a second. Each
-        miss in a row doubles the wait, up to `watch_most_ms`, at a random part of it, so that gateways
-        do not come back in step. At the start, the wait for a first list ends once, at `watch_refusals`."""
-        self.watch = Watch(watch.version, misses=watch.misses + 1)
-        if self.state == "starting" and self.watch.misses == self.limits.watch_refusals:
-            self.inbox.append((self.mode, "waited"))  # discovery said no: waiting for it would be lost
-        wait = min(self.limits.watch_most_ms, self.limits.redial_ms * 2**watch.misses)
-        self.wake_at(self.now + wait * (0.5 + 0.5 * self.chance.random()), "watch due")
-
-    def watch_anew(self, watch: Watch) -> None:
-        """Guards against a watch that is open and dead: without its line in time it opens again."""
-        self.diary.event("watch anew", heard_ms_ago=self.now - watch.heard_at, version=watch.version)
-        self.do(watch.link.abort)
-        self.watch_there(watch)
-
-    def watch_there(self, watch: Watch) -> None:
-        self.watch = Watch(watch.version)
-        advance(WATCH, self.watch, "due", self)
+    @property
+    def watch(self) -> Watch:
+        return self.discovery.now_used
 
     def listed(self, watch: Watch, listing: Listing | None) -> None:
-        if watch is not self.watch:
+        if not self.discovery.heard(watch):
             return
-        watch.heard_at, watch.misses = self.now, 0
         if listing is not None:
             watch.version = listing.version
             self.entries(listing)
@@ -943,7 +905,7 @@
     def newer_list(self, version: int) -> None:
         """Another gateway has a newer list than ours: the watch opens again, unless it has come meanwhile."""
         if version > self.watch.version:
-            advance(WATCH, self.watch, "moved", self)
+            self.discovery.signal(self.watch, "moved")
 
     # A new file.
 
@@ -954,7 +916,7 @@
             if wire is not None:
                 advance(COUNTER_LINK, wire, "moved", self)
         if discovery:
-            advance(WATCH, self.watch, "moved", self)
+            self.discovery.signal(self.watch, "moved")
 
     # Now and then.
 
@@ -972,8 +934,7 @@
         for wire in list(self.old_wires):
             if now - wire.old_since > limits.counter_linger_ms:
                 advance(COUNTER_LINK, wire, "lingered", self)
-        if self.watch.state == "open" and now - self.watch.heard_at > limits.watch_silence_ms:
-            advance(WATCH, self.watch, "silent", self)
+        self.discovery.sweep()
         for place in self.places.values():
             while place.idle and now - place.idle[0].idle_since > limits.host_idle_ms:
                 advance(HOST_LINK, place.idle[0], "aged", self)
@@ -986,23 +947,39 @@
         keep a connection that they need no more."""
         now, limits = self.now, self.limits
         if caller.state == "closing":
-            if now - caller.closing_since > limits.close_ms:
+            unwritten = caller.closed_at is None
+            if unwritten and now - caller.closing_since > limits.flush_ms:
+                self.counts["slow_readers"] += 1
                 self.do(caller.link.abort)
+            elif not unwritten and now - caller.closed_at > limits.close_ms:
+                self.do(caller.link.abort)
+            else:
+                self.do(caller.link.read_on)
         elif caller.state == "spoilt":
+            self.do(caller.link.read_on)
             if now - caller.spoilt_since > limits.spoilt_ms:
                 for waiting in list(caller.queue):
                     if isinstance(waiting, Errand) and waiting.answer is None:
                         self.gateway.client_gone(waiting)
                         self.error(waiting)
+        elif caller.choked:
+            caller.half_since = 0.0  # what it sent waits until it reads: no half command, and no rest
+        elif self.lifecycle.shutting and not caller.queue:
+            self.offer_end(caller)
         elif not caller.link.half():
             caller.half_since = 0.0
             patience = limits.rest_ms if caller.spoke else limits.half_ms
-            if caller.queue or now - caller.rested_at <= patience:
-                return
-            self.part_with(caller)  # no word, which a task on its way might take for its answer
-        elif not caller.half_since:
-            caller.half_since = now
-        elif now - caller.half_since > limits.half_ms:
+            if not caller.queue and now - caller.rested_at > patience:
+                # No word, which a task on its way might take for its answer.
+                self.do(caller.link.look, "client rested")
+        elif not caller.half_since or caller.got != caller.link.got:
+            # Guards long commands on slow lines: it counts from the last bytes that came; the whole is
+            # bounded.
+            caller.half_since, caller.got = caller.half_since or now, caller.link.got
+            caller.moved_at = now
+            if now - caller.half_since > limits.half_most_ms:
+                self.malformed(caller, "command not ended")
+        elif now - caller.moved_at > limits.half_ms:
             self.malformed(caller, "command not ended")
 
 
@@ -1015,6 +992,9 @@
     "client up": Reducer.client_up,
     "client down": Reducer.client_down,
     "client silent": Reducer.client_silent,
+    "client rested": Reducer.client_rested,
+    "client idle": Reducer.client_idle,
+    "client closed": Reducer.client_closed,
     "client choked": Reducer.choked,
     "client eased": Reducer.eased,
     "asked": Reducer.asked,
@@ -1038,9 +1018,11 @@
     "counter begun": Reducer.counter_begun,
     "counter stalled": Reducer.counter_stalled,
     "counter due": Reducer.wire_due,
-    "watch up": Reducer.watch_up,
-    "watch down": lambda self, watch: self.watch_signal(watch, "down"),
-    "watch due": Reducer.watch_due,
+    "watch up": lambda self, watch, link: self.discovery.up(watch, link),
+    "watch down": lambda self, watch: self.discovery.signal(watch, "down"),
+    "watch begun": lambda self, watch: self.discovery.begun(watch),
+    "watch spoilt": lambda self, watch, why: self.discovery.spoilt(watch, why),
+    "watch due": lambda self: self.discovery.due(),
     "listed": Reducer.listed,
     "moved": Reducer.moved,
     "newer list": Reducer.newer_list,
--- a/granitedock/service/resp.py
+++ b/granitedock/service/resp.py
@@ -79,6 +79,7 @@
         self.need = 0  # bytes of the bulk string that are still to come, with its line end
         self.pieces: list[bytes] = []
         self.deaf = False
+        self.got = 0  # bytes that have come, all told
 
     def received(self, value: Any, parts: list[bytes]) -> None:
         raise NotImplementedError
@@ -104,6 +105,7 @@
         self.malformed(why)
 
     def dataReceived(self, data: bytes) -> None:
+        self.got += len(data)
         if self.deaf or (data and not self.half() and not self.paused and self.flat(data)):
             return
         super().dataReceived(data)
--- a/granitedock/service/serve.py
+++ b/granitedock/service/serve.py
@@ -130,6 +130,15 @@
         self.numberAccepts = self.accepts
         super().doRead()
 
+    def take_rest(self) -> None:
+        """Guards requests on connections that wait to be accepted when the port closes: the machine has taken
+        them, and closing would reset them."""
+        for _ in range(self.backlog):
+            before = self.sessionno
+            self.doRead()
+            if self.sessionno == before:
+                return
+
 
 class Doors:
     """What the reducer asks for beyond a connection that is up: dials, wakes, and the end."""
@@ -167,13 +176,14 @@
             (self.port.startReading if on else self.port.stopReading)()
 
     def shut(self) -> None:
+        self.port.take_rest()
         self.port.stopListening()
 
     def leave(self) -> None:
-        """Let what is written go out first."""
+        """Every client has gone by now, or the time that we are given is over."""
         if self.leaving is not None:
             self.leaving()
-        self.reactor.callLater(0.05, self.reactor.stop)
+        self.reactor.callLater(0.0, self.reactor.stop)
 
 
 def parties(told: dict[str, Any]) -> tuple[str, str]:
@@ -321,19 +331,27 @@
         self.log.event("file read", counter=there[0], discovery=there[1])
         self.tell("moved", *self.doors.move(*there))
 
-    def signals(self) -> None:
-        def on(number: int, act: Any) -> None:
-            signal.signal(number, lambda *_: self.reactor.callFromThread(act))
-
-        on(signal.SIGTERM, self.stop_soon)
-        on(signal.SIGINT, self.stop_soon)
-        on(signal.SIGHUP, self.read_anew)
-        on(signal.SIGUSR1, lambda: self.log.counters("counters"))
+    def signals(self, heard: list[int]) -> None:
+        """From now on a signal acts at once; `heard` are those that came while we started, in their order."""
+        acts = {
+            signal.SIGTERM: self.stop_soon,
+            signal.SIGINT: self.stop_soon,
+            signal.SIGHUP: self.read_anew,
+            signal.SIGUSR1: lambda: self.log.counters("counters"),
+        }
+        for number, act in acts.items():
+            signal.signal(number, lambda *_, act=act: self.reactor.callFromThread(act))
+        for number in heard:
+            acts[number]()
 
 
 def serve(path: str, fleet: Any = None, operators: str | None = None) -> int:
     """Serve as the file says, until told to stop; `fleet` and `operators` as for `Service`."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it can be heard: by default it would end the process
+    # Guards against signals that come while we start: by default they would end the process over connections
+    # that the machine has taken, and a new file would go unread.
+    heard: list[int] = []
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+        signal.signal(number, lambda number, _frame: heard.append(number))
     reactor = SteadyReactor(Wakes(Clock()), BEGAN_MS)
     installReactor(reactor)
     try:
@@ -343,7 +361,7 @@
         print(f"granitedock: cannot start by {path}: {type(fault).__name__}: {fault}", file=sys.stderr)
         return 1
     globalLogBeginner.beginLoggingTo([service.trouble], redirectStandardIO=False)
-    reactor.callWhenRunning(service.signals)
+    reactor.callWhenRunning(service.signals, heard)
     reactor.run()
     service.log.counters("counters at exit")
     return 0
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -143,6 +143,8 @@
 
     def loseWriteConnection(self):
         self.closed = self.closed or "closed"
+        if not self.stuck:
+            self.link.writeConnectionLost()
 
     def loseConnection(self):
         self.closed = self.closed or "ended"
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -57,7 +57,7 @@
             after = Small(Shape(2, 2, ("mark", "once"), 1))
             for step in [*trace, move]:
                 after.play(step)
-            if after.digest() not in seen and len(seen) < 800:
+            if after.digest() not in seen and len(seen) < 1600:
                 seen.add(after.digest())
                 stack.append([*trace, move])
     for way in ("ask", "dial", "answer", "total", "list"):
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -394,8 +394,11 @@
     wired, _, _ = begun()
     wired.pass_ms(4000)
     assert wired.watch.closed == "aborted"
-    assert b"after=1 " in wired.comes_up().took()
+    anew = wired.comes_up()
+    assert b"after=1 " in anew.took()
     wired.watch.link.connectionLost()  # the old one's end says nothing of the new
+    assert wired.reducer.watch.state == "asked"  # up, and not a line yet
+    anew.link.dataReceived(NOTHING_NEW)
     assert wired.reducer.watch.state == "open"
 
 
