Stories over loopback sockets for each crossing, forced by the order of the steps

Need: the shutdown, watch and dial mends had no tests of their own. tests/live.py runs the whole gateway on real loopback sockets with a loop and a clock that the story turns; tests/test_crossings.py forces 31 crossings with it.

Mended with it: half a command that had begun long before the door shut got no moment for its rest (Reducer.client_idle counted from when it was first found; now from the shut door, or the last answer).

Seen: tests/test_crossings.py 31 passed, three times running, test_service and test_stories passed.

--- a/granitedock/service/lifecycle.py
+++ b/granitedock/service/lifecycle.py
@@ -29,7 +29,7 @@
 
 class Lifecycle:
     def __init__(self, owner: Any) -> None:
-        self.owner, self.state = owner, "starting"
+        self.owner, self.state, self.shut_at = owner, "starting", float("inf")
 
     @property
     def shutting(self) -> bool:
@@ -74,6 +74,7 @@
         """No new connection, once those that wait for us to accept them are in; who waits for no answer is
         parted with, unless bytes of theirs lie unread."""
         owner = self.owner
+        self.shut_at = owner.now
         owner.do(owner.doors.shut)
         for caller in list(owner.callers):
             owner.offer_end(caller)
--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -362,8 +362,9 @@
     def client_idle(self, caller: Caller) -> None:
         if caller.state == "up" and not caller.queue and self.lifecycle.shutting:
             # Half a command, or a connection that has only just come: the rest may be on its way.
+            # What half a command had of its time before the door shut does not count.
             if caller.link.half():
-                caller.half_since = since = caller.half_since or self.now
+                since = max(self.lifecycle.shut_at, caller.rested_at)
             else:
                 since = float("-inf") if caller.spoke else caller.rested_at
             if self.now - since > self.limits.fresh_ms:
--- /dev/null
+++ b/tests/live.py
@@ -0,0 +1,221 @@
+"""A gateway on real loopback sockets whose loop turns, and whose clock moves, only when the story says so.
+
+The sockets, the kernel's closes and resets, and the gateway's own links and loop are the real ones; hosts,
+counter, discovery and clients are plain sockets that the story holds. So each crossing is forced by the order
+of the story's own steps. Times are milliseconds.
+"""
+
+import json
+import select
+import socket
+from collections import deque
+
+from fakehost import BORN
+
+from granitedock.service.resp import command
+from granitedock.service.serve import Clock, Service, SteadyReactor, Wakes
+
+START_MS = 1_700_000_000_000.0
+WATCHED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(text):
+    return b"%x\r\n%b\r\n" % (len(text), text)
+
+
+def answer(value=b"value"):
+    return b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(value), value)
+
+
+VALUE = answer()
+
+
+class Peer:
+    """One end that the story holds: what came is read without waiting."""
+
+    def __init__(self, sock):
+        self.sock, self.came, self.ended = sock, b"", ""
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # no byte waits for the system's timer
+
+    def read(self, most=1 << 20):
+        """What came since the last look; `ended` says how the other side's end came, "closed" or "reset"."""
+        while not self.ended and most > 0:
+            try:
+                data = self.sock.recv(min(most, 65536))
+            except BlockingIOError:
+                break
+            except ConnectionResetError:
+                self.ended = "reset"
+                break
+            if not data:
+                self.ended = "closed"
+                break
+            self.came, most = self.came + data, most - len(data)
+        came, self.came = self.came, b""
+        return came
+
+    def wait(self):
+        """Until there is something to read, as the system's own timers may have to run first."""
+        assert select.select([self.sock], [], [], 10)[0]
+
+    def send(self, data):
+        self.sock.sendall(data)
+
+    def close(self):
+        self.sock.close()
+
+
+class Server:
+    """A listening socket of the story's; connections to it are taken when the story looks."""
+
+    def __init__(self, backlog=64):
+        self.sock = socket.create_server(("127.0.0.1", 0), backlog=backlog)
+        self.sock.setblocking(False)
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
+
+    def take(self):
+        try:
+            return Peer(self.sock.accept()[0])
+        except BlockingIOError:
+            return None
+
+
+class Live:
+    """The gateway with `hosts` hosts. The counter answers at once unless `counts` is off."""
+
+    def __init__(self, tmp_path, hosts=1, listed=True, sockets=64, lanes=None, known=True, **settings):
+        self.t, self.next_id, self.version = START_MS, 1, 1
+        clock = Clock(lambda: self.t / 1000.0, lambda: self.t / 1000.0)
+        self.reactor = SteadyReactor(Wakes(clock), self.t)
+        self.hosts = [Server() for _ in range(hosts)]
+        self.counter, self.discovery = Server(), Server()
+        self.counter_peers, self.watches, self.counts, self.held = [], [], True, deque()
+        self.host_peers = []  # kept, as a socket that nobody holds closes
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.listen = free.getsockname()
+        born = BORN | {"Lanes": lanes or BORN["Lanes"]} | settings
+        told = {
+            "name": "g0",
+            "listen": f"127.0.0.1:{self.listen[1]}",
+            "discovery": self.discovery.address,
+            "counter": self.counter.address,
+            "seed": "07",
+            "limits": {"sockets": sockets},
+            "settings": born,
+            "known": self.listing() if known else None,
+        }
+        path = tmp_path / "told.json"
+        path.write_text(json.dumps(told))
+        self.service = Service(str(path), self.reactor)
+        self.reducer, self.limits = self.service.reducer, self.service.limits
+        self.log = self.service.log
+        self.log.event = lambda event, **figures: self.events.append((event, figures))
+        self.events, self.left = [], []
+        self.reactor.callLater = self.later
+        self.service.start()
+        self.turn()
+        if listed:
+            self.lists()
+
+    def later(self, delay, act, *args, **named):
+        """The end of the process, which the story only notes; all else is Twisted's own."""
+        if act == self.reactor.stop:
+            self.left.append(self.t)
+            return None
+        return type(self.reactor).callLater(self.reactor, delay, act, *args, **named)
+
+    def listing(self, lifecycle="in_service", **more):
+        self.version += 1
+        entries = [
+            {"instanceId": f"h{n}", "hostPort": host.address, "lifecycle": lifecycle, **more}
+            for n, host in enumerate(self.hosts)
+        ]
+        return {"generation": self.version, "reset": True, "instances": entries}
+
+    def turn(self, turns=6):
+        """Some turns of the loop, with the counter's answers between them."""
+        for _ in range(turns):
+            self.reactor.iterate(0)
+            while peer := self.counter.take():
+                self.counter_peers.append(peer)
+            for peer in self.counter_peers if self.counts else ():
+                calls = peer.read().count(b"TALLY")
+                if calls:
+                    peer.send(calls * b"$1\r\n1\r\n")
+
+    def pass_ms(self, ms, step=20.0):
+        end = self.t + ms
+        while self.t < end:
+            self.t = min(end, self.t + step)
+            self.turn(2)
+        self.turn()
+
+    def watch(self):
+        """The newest watch, its request read."""
+        while peer := self.discovery.take():
+            self.watches.append(peer)
+        self.watches[-1].read()
+        return self.watches[-1]
+
+    def next_watch(self, within_ms=6000.0):
+        """The first watch that opens from now on; earlier ones got no answer."""
+        end, seen = self.t + within_ms, self.watch()
+        while self.watch() is seen:
+            assert self.t < end
+            self.pass_ms(20)
+        return self.watches[-1]
+
+    def lists(self, **more):
+        watch = self.watch()
+        head = b"" if getattr(watch, "headed", False) else WATCHED
+        watch.headed = True
+        watch.send(head + chunk(json.dumps(self.listing(**more)).encode() + b"\n"))
+        self.turn()
+
+    def client(self, narrow=0):
+        """`narrow`: the bytes that the system holds on each side of a connection, where it matters."""
+        sock = socket.socket()
+        if narrow:
+            self.service.doors.port.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, narrow)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, narrow)
+        sock.connect(self.listen)
+        self.turn()
+        return Peer(sock)
+
+    def request(self, name="read", d=3000, more=b"", body=()):
+        text = b"c=%b,t=p,d=%d,units=1,spread=1,first=0%b" % (name.encode(), d, more)
+        word = b"API.READ" if name == "read" else b"API.WRITE"
+        self.next_id += 1
+        return command(word, b"00000000000000a1", b"%016x" % self.next_id, text, *body)
+
+    def at_host(self, number=0):
+        """The oldest connection to this host that was not seen yet, if there is one."""
+        for _ in range(3):
+            self.turn()
+            if (peer := self.hosts[number].take()) is not None:
+                self.host_peers.append(peer)
+                return peer
+        return None
+
+    def hold_dials(self):
+        """From now on connections to hosts come up only when the story lets them (`release`): as late as
+        connections on poor ways do."""
+        hosts = self.service.doors.hosts
+        dial = type(hosts).dial
+        hosts.dial = lambda lane, address: self.held.append((lane, address))
+        self.release = lambda: (
+            [dial(hosts, *self.held.popleft()) for _ in range(len(self.held))] and self.turn()
+        )
+
+    def close(self):
+        for link in [*self.reactor.getReaders(), *self.reactor.getWriters()]:
+            self.reactor.removeReader(link)
+            self.reactor.removeWriter(link)
+            if hasattr(link, "socket"):
+                link.socket.close()
+        for server in [*self.hosts, self.counter, self.discovery]:
+            server.sock.close()
+        for peer in [*self.counter_peers, *self.watches, *self.host_peers]:
+            peer.close()
+        self.reactor._poller.close()
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,545 @@
+"""Stories of what crosses: a request, an answer, a close or a signal between any two steps of the gateway,
+each forced on real loopback sockets by the order of the steps (docs/incidents/2026-12-02-crossings.md)."""
+
+import json
+import signal
+import socket
+
+import pytest
+from fakehost import BORN
+from live import VALUE, WATCHED, Live, Peer, answer, chunk
+
+from granitedock.service.resp import command
+
+PING = command(b"PING")
+PATIENT = [lane | {"TargetMs": 4000} for lane in BORN["Lanes"]]  # attempts are out as long as clients wait
+ERR = b"-ERR failed\r\n"
+
+
+@pytest.fixture
+def live(tmp_path):
+    made = []
+
+    def make(**more):
+        made.append(Live(tmp_path, **more))
+        return made[-1]
+
+    yield make
+    for one in made:
+        one.close()
+
+
+def out_at_host(gate, client, name="once", **more):
+    """A request that is written whole to the host, and the host's end of it."""
+    client.send(gate.request(name, **more))
+    host = gate.at_host()
+    assert b"API." in host.read()
+    return host
+
+
+def stopping(gate):
+    gate.service.stop_soon()
+    gate.pass_ms(gate.limits.open_ms + 1)
+    assert gate.reducer.state == "closing"
+
+
+# The end of the process.
+
+
+def test_a_stop_that_is_overdue_answers_ends_and_waits_for_the_client_before_the_process_ends(live):
+    # roll+term+brink+mass on the other deployment: commands were taken for 50 ms after the last answers, and
+    # the process ended over them.
+    gate = live(lanes=PATIENT)
+    client = gate.client()
+    out_at_host(gate, client, d=60000)
+    gate.service.stop_soon()
+    gate.pass_ms(gate.limits.leave_ms + 20)
+    assert client.read() == ERR and client.ended == "closed"  # told, and parted with
+    client.send(gate.request())  # crosses our end: it is neither taken nor sent on
+    gate.turn()
+    assert gate.reducer.counts["taken"] == 1 and not gate.left
+    client.close()
+    gate.turn()
+    assert gate.left and gate.left[0] - gate.t < gate.limits.leave_most_ms - gate.limits.leave_ms
+
+
+def test_a_stop_ends_at_its_bound_though_a_client_never_ends_its_connection(live):
+    gate = live(lanes=PATIENT)
+    client = gate.client()
+    out_at_host(gate, client, d=60000)
+    gate.service.stop_soon()
+    gate.pass_ms(gate.limits.leave_most_ms + 20)
+    assert client.read() == ERR and len(gate.left) == 1
+    longest = min(3000.0, max(lane["GiveUpMs"] for lane in BORN["Lanes"]))
+    assert gate.left[0] <= gate.t and gate.limits.leave_most_ms < longest + 700  # SIGKILL comes no sooner
+
+
+def test_what_is_asked_behind_a_pending_answer_while_the_process_shuts_is_refused_and_sent_to_nobody(live):
+    gate = live()
+    client = gate.client()
+    host = out_at_host(gate, client)
+    stopping(gate)
+    client.send(gate.request() + gate.request("once"))
+    gate.turn()
+    assert gate.at_host() is None and host.read() == b""
+    host.send(VALUE)
+    gate.turn()
+    said = client.read()
+    assert said.startswith(VALUE + b"-BUSY") and said.count(b"-BUSY") == 2 and client.ended == "closed"
+
+
+def test_a_request_unread_when_the_door_shuts_is_answered_before_its_connection_ends(live):
+    gate = live()
+    client = gate.client()
+    client.send(gate.request())
+    host = gate.at_host()
+    host.read()
+    host.send(VALUE)
+    gate.turn()
+    assert client.read() == VALUE
+    gate.service.stop_soon()
+    gate.pass_ms(gate.limits.open_ms - 30)
+    client.send(gate.request())  # lies unread when the timer of the shut door rings
+    gate.t += 40
+    gate.reactor.runUntilCurrent()
+    assert gate.reducer.state == "closing"
+    gate.turn()
+    assert client.read().startswith(b"-BUSY") and client.ended == "closed"
+
+
+def test_a_request_on_a_connection_nobody_accepted_yet_is_answered_when_the_port_closes(live):
+    gate = live()
+    gate.service.stop_soon()
+    gate.pass_ms(gate.limits.open_ms - 30)
+    clients = [Peer(socket.create_connection(gate.listen)) for _ in range(20)]  # more than a turn accepts
+    for client in clients:
+        client.send(gate.request())
+    gate.t += 40
+    gate.reactor.runUntilCurrent()
+    gate.turn()
+    for client in clients:
+        assert client.read().startswith(b"-BUSY") and client.ended == "closed"
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(gate.listen)
+
+
+def test_half_a_request_when_the_door_shuts_has_a_moment_for_its_rest(live):
+    gate = live()
+    client, other = gate.client(), gate.client()
+    request = gate.request()
+    for one in client, other:
+        one.send(request[:30])
+    gate.turn()
+    stopping(gate)
+    client.send(request[30:])
+    gate.turn()
+    assert client.read().startswith(b"-BUSY") and client.ended == "closed"
+    gate.pass_ms(400)
+    assert other.read() == b"" and other.ended == "closed"
+
+
+def test_a_signal_to_end_while_starting_answers_what_waits_behind_a_ping(live):
+    gate = live(listed=False)
+    client = gate.client()
+    client.send(PING + gate.request())
+    gate.turn()
+    assert client.read() == b"" and gate.reducer.state == "starting"
+    gate.service.stop_soon()
+    host = gate.at_host()
+    host.read()
+    host.send(VALUE)
+    gate.turn()
+    assert client.read() == b"-ERR closing\r\n" + VALUE
+
+
+def test_signals_that_come_before_the_loop_runs_act_once_it_does(live, tmp_path):
+    gate = live()
+    before = {number: signal.getsignal(number) for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)}
+    before[signal.SIGUSR1] = signal.getsignal(signal.SIGUSR1)
+    try:
+        elsewhere = gate.hosts[0].address
+        told = json.loads((tmp_path / "told.json").read_text()) | {"discovery": elsewhere}
+        (tmp_path / "told.json").write_text(json.dumps(told))
+        gate.service.signals([signal.SIGHUP, signal.SIGTERM])
+        gate.turn()
+        assert gate.at_host().read().startswith(b"GET ") and gate.reducer.state == "draining"
+    finally:
+        for number, act in before.items():
+            signal.signal(number, act)
+
+
+def test_an_answer_given_at_the_end_calls_off_an_attempt_still_on_its_way_up(live):
+    gate = live(lanes=PATIENT)
+    gate.hold_dials()
+    client = gate.client()
+    client.send(gate.request("once", d=60000))
+    gate.turn()
+    assert gate.held
+    gate.service.stop_soon()
+    gate.pass_ms(gate.limits.leave_ms + 1)
+    assert client.read() == ERR
+    gate.release()
+    host = gate.at_host()
+    assert host.read() == b"" and host.ended
+
+
+# A client that leaves.
+
+
+def test_no_attempt_begins_for_a_client_that_left_while_the_connection_came_up(live):
+    gate = live()
+    gate.hold_dials()
+    client = gate.client()
+    client.send(gate.request("once"))
+    gate.turn()
+    client.close()
+    gate.turn()
+    gate.release()
+    host = gate.at_host()
+    assert host.read() == b"" and host.ended and gate.reducer.counts["unwanted"] == 1
+    assert not gate.reducer.errands and not gate.reducer.lanes
+    assert all(it.health.state == "trusted" and not it.health.failures for it in gate.reducer.places.values())
+
+
+def test_no_further_attempt_begins_for_a_client_that_left_during_the_first(live):
+    gate = live(hosts=2)
+    client = gate.client()
+    client.send(gate.request())
+    gate.turn()
+    host = gate.at_host(0) or gate.at_host(1)
+    assert host.read()
+    client.close()
+    gate.turn()
+    host.close()
+    gate.pass_ms(400)
+    assert gate.at_host(0) is None and gate.at_host(1) is None
+
+
+def test_requests_that_wait_for_the_counter_are_not_sent_on_once_their_client_left(live):
+    gate = live()
+    gate.counts = False
+    client = gate.client()
+    for _ in range(5):
+        client.send(gate.request())
+    gate.turn()
+    client.close()
+    gate.turn()
+    gate.counts = True
+    gate.pass_ms(400)
+    assert gate.at_host() is None and gate.reducer.counts["client_gone"] == 5
+
+
+BIG = answer(60000 * b"x")
+
+
+def choke(gate, client):
+    """Answers that the client does not read fill the way until the gateway holds some; how many."""
+    asked = 0
+    while not next(iter(gate.reducer.callers)).choked:
+        host = out_at_host(gate, client, "read")
+        host.send(BIG)
+        gate.turn()
+        host.close()
+        gate.turn()
+        asked += 1
+    return asked
+
+
+def test_the_end_of_a_client_that_reads_no_answers_is_seen(live):
+    gate = live()
+    client = gate.client(narrow=16384)
+    choke(gate, client)
+    client.send(gate.request())  # is kept, and not looked at
+    gate.turn()
+    assert gate.at_host() is None
+    client.sock.shutdown(socket.SHUT_WR)
+    gate.turn()
+    assert not gate.reducer.callers and gate.reducer.held == 0
+
+
+def test_a_slow_reader_whose_connection_is_to_end_gets_all_of_its_answer(live):
+    gate = live()
+    client = gate.client(narrow=16384)
+    asked = choke(gate, client)
+    stopping(gate)
+    began, got = gate.t, b""
+    while not client.ended:
+        client.wait()
+        got += client.read(4096)
+        gate.pass_ms(40)
+    # Far longer than a client has that has read all and does not end.
+    assert gate.t - began > 2 * gate.limits.close_ms
+    assert got == asked * BIG and client.ended == "closed"
+
+
+# What changes while a connection to a host comes up.
+
+
+def test_nothing_is_sent_to_a_host_that_began_to_drain_while_the_connection_came_up(live):
+    gate = live()
+    gate.hold_dials()
+    client = gate.client()
+    client.send(gate.request("once"))
+    gate.turn()
+    gate.lists(lifecycle="terminating")
+    gate.release()
+    host = gate.at_host()
+    assert host.read() == b"" and host.ended
+    assert client.read().startswith(b"-BUSY")  # it never ran, and there is no other host
+
+
+def test_a_keyed_request_is_not_repeated_past_its_window_by_a_connection_that_came_up_late(live):
+    lanes = [lane | {"WindowMs": 300} if lane["Repeat"] == "keyed" else lane for lane in BORN["Lanes"]]
+    for late_ms, repeats in (200, True), (320, False):
+        gate = live(hosts=2, lanes=lanes)
+        client = gate.client()
+        client.send(gate.request("mark", more=b",k=5c"))
+        gate.turn()
+        first = 0 if (host := gate.at_host(0)) else 1
+        host = host or gate.at_host(1)
+        assert host.read()
+        gate.hold_dials()
+        host.close()  # it may have run
+        gate.turn()
+        assert gate.held
+        gate.t += late_ms
+        gate.release()
+        again = gate.at_host(1 - first)
+        assert bool(again.read()) == repeats
+        if repeats:
+            again.send(VALUE)
+            gate.turn()
+            assert client.read() == VALUE
+        else:
+            assert client.read() in (ERR, b"-BUSY\r\n")
+
+
+def test_a_kept_connection_that_the_host_ends_as_it_is_wanted_is_not_written_to(live):
+    gate = live()
+    client = gate.client()
+    client.send(gate.request())
+    kept = gate.at_host()
+    kept.read()
+    kept.send(VALUE)
+    gate.turn()
+    assert client.read() == VALUE
+    gate.t += 50
+    gate.counts = False
+    client.send(gate.request("once"))
+    gate.turn()  # it waits for the counter
+    for peer in gate.counter_peers:
+        if b"TALLY" in peer.read():
+            peer.send(b"$1\r\n1\r\n")
+    kept.close()  # both lie unread: the total, and the end of the kept connection
+    gate.turn()
+    anew = gate.at_host()
+    assert anew.read()
+    anew.send(VALUE)
+    gate.turn()
+    assert client.read() == VALUE
+
+
+# Long and slow, and without end.
+
+
+def test_a_long_answer_on_a_slow_line_is_served(live):
+    gate = live(lanes=PATIENT)
+    client = gate.client()
+    host = out_at_host(gate, client)
+    long = answer(4000 * b"x")
+    for at in range(0, len(long), 800):  # a piece each 200 ms, longer in all than a silent one is waited for
+        host.send(long[at : at + 800])
+        gate.pass_ms(200)
+    assert client.read() == long
+
+
+def test_an_answer_that_falls_silent_in_the_middle_ends_soon(live):
+    gate = live(lanes=PATIENT)
+    client = gate.client()
+    host = out_at_host(gate, client)
+    host.send(VALUE[:9])
+    gate.pass_ms(2 * gate.limits.answer_ms + 20)
+    assert client.read() == ERR and host.read() == b"" and host.ended
+
+
+def test_an_answer_that_trickles_within_its_form_ends_in_time(live):
+    gate = live(lanes=PATIENT)
+    client = gate.client()
+    host = out_at_host(gate, client, d=3900)
+    host.send(b"*3\r\n$60000\r\n")
+    began = gate.t
+    while gate.reducer.counts["forward_reset"] == 0 and gate.t < began + 3500:
+        host.send(b"x")
+        gate.pass_ms(100)
+    assert client.read() == ERR and gate.t - began <= gate.limits.answer_most_ms + 400
+
+
+def test_a_long_command_on_a_slow_line_is_taken_and_half_a_one_is_not_waited_for_without_end(live):
+    gate = live()
+    client, stuck, endless = gate.client(), gate.client(), gate.client()
+    request = gate.request("once", body=(2000 * b"x",))
+    stuck.send(request[:50])
+    endless.send(b"*5\r\n$9\r\nAPI.WRITE\r\n$9\r\n")
+    piece = len(request) // 4 + 1
+    for at in range(0, len(request), piece):
+        client.send(request[at : at + piece])
+        gate.pass_ms(700)  # longer in all than half a command is waited for
+        endless.send(b"1")
+    assert gate.reducer.counts["taken"] == 1 and gate.at_host().read()
+    assert stuck.read() == b"-ERR command not ended\r\n" and stuck.ended == "closed"
+    while endless.ended == "" and gate.t < 1e13:
+        gate.pass_ms(500)
+        if endless.read().startswith(b"-ERR"):
+            break
+        endless.send(b"")
+    assert endless.ended == "closed" and gate.reducer.counts["malformed"] == 2
+
+
+# Discovery's answers.
+
+
+def hosts_known(gate):
+    return sorted(place.address for place in gate.reducer.places.values())
+
+
+def test_lists_may_come_indented_in_pieces_and_with_empty_lines_between(live):
+    gate = live(hosts=2, known=False, listed=False)
+    text = json.dumps(gate.listing(), indent=2).encode() + b"\n"
+    watch = gate.watch()
+    watch.send(WATCHED)
+    for at in range(0, len(text), 37):
+        watch.send(chunk(text[at : at + 37]))
+        gate.turn(2)
+    assert hosts_known(gate) == sorted(host.address for host in gate.hosts)
+    gate.version += 5
+    more = json.dumps(gate.listing(lifecycle="terminated"), indent="\t").replace("\n", "\r\n").encode()
+    watch.send(chunk(b"\n") + chunk(more + b"\r\n\n"))
+    gate.turn()
+    assert hosts_known(gate) == [] and gate.reducer.watch.version == gate.version
+    assert gate.reducer.counts["watch_spoilt"] == 0
+
+
+def test_a_list_without_a_length_that_is_reset_on_the_way_changes_nothing(live):
+    gate = live(hosts=2, known=False, listed=False)
+    text = json.dumps(gate.listing(), indent=1).encode()
+    watch = gate.watch()
+    watch.send(b"HTTP/1.1 200 OK\r\n\r\n" + text[:-40])
+    gate.turn()
+    watch.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    watch.close()
+    gate.turn()
+    assert hosts_known(gate) == [] and gate.reducer.state == "starting"
+    gate.pass_ms(150)
+    watch = gate.watch()
+    watch.send(b"HTTP/1.1 200 OK\r\n\r\n" + text + b"\n")  # and whole this time
+    gate.turn()
+    assert len(hosts_known(gate)) == 2 and gate.reducer.state == "serving"
+
+
+@pytest.mark.parametrize(
+    "said",
+    [
+        b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + chunk(b'{"generation":2}{"generation":3}\n'),
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + chunk(b'{"generation":"x","instances":[]}\n'),
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + chunk(b'{"generation":3,\n"instances":[}\n'),
+        b"nothing of the kind\r\n\r\n",
+    ],
+)
+def test_an_answer_of_discovery_that_is_none_is_named_counted_and_costs_its_own_watch_only(live, said):
+    gate = live()
+    client = gate.client()
+    gate.service.tell("moved", False, True)
+    gate.turn()
+    gate.watch().send(said)
+    gate.turn()
+    assert gate.watches[-1].read() == b"" and gate.watches[-1].ended
+    assert gate.reducer.counts["watch_spoilt"] == 1
+    assert [figures["why"] for event, figures in gate.events if event == "watch spoilt"]
+    host = out_at_host(gate, client)  # the list as last had stands
+    host.send(VALUE)
+    gate.turn()
+    assert client.read() == VALUE
+    gate.pass_ms(200)
+    assert gate.watch() is gate.watches[-1] and len(gate.watches) == 3  # and it is asked again
+
+
+def test_a_list_that_never_ends_is_given_up_with_its_watch(live):
+    gate = live(known=False, listed=False)
+    watch = gate.watch()
+    watch.send(WATCHED + chunk(b'{"generation":9,"instances":[\n'))
+    began = gate.t
+    while len(gate.watches) < 2 and gate.t < began + 6000:
+        try:
+            watch.send(chunk(b" \n"))
+        except OSError:
+            break
+        gate.pass_ms(200)
+        gate.watch()
+    gate.pass_ms(300)
+    assert gate.watch() is not watch and gate.t - began < 3500
+
+
+# Floods, and descriptors run short.
+
+
+def test_a_flood_behind_a_malformed_command_costs_no_answer_that_is_owed(live):
+    gate = live()
+    client, other = gate.client(), gate.client()
+    host = out_at_host(gate, client)
+    client.send(b"?\r\n")
+    gate.turn()
+    sent = 0
+    for _ in range(200):  # more than is read of a connection that is over
+        try:
+            sent += client.sock.send(8192 * b"x")
+        except BlockingIOError:
+            gate.turn(1)
+    assert sent > gate.limits.unread and gate.reducer.counts["malformed"] == 1
+    host.send(VALUE)
+    gate.turn()
+    assert client.read().startswith(VALUE + b"-ERR not a RESP2 value\r\n") and client.ended == "closed"
+    host = out_at_host(gate, other)
+    host.send(VALUE)
+    gate.turn()
+    assert other.read() == VALUE
+
+
+def test_idle_clients_that_fill_the_descriptors_leave_discovery_counter_and_hosts_theirs(live):
+    gate = live(sockets=48)
+    gate.watches[-1].close()  # discovery goes down
+    gate.turn()
+    worker = gate.client()
+    host = out_at_host(gate, worker)
+    host.send(VALUE)
+    gate.turn()
+    assert worker.read() == VALUE
+    host.close()
+    idle = []
+    for _ in range(100):
+        idle.append(Peer(socket.create_connection(gate.listen)))
+        gate.turn(1)
+    assert gate.reducer.full and len(gate.reducer.callers) < gate.limits.client_over
+    for peer in gate.counter_peers:
+        peer.close()  # the counter's connections break: dialled again
+    gate.counter_peers = []
+    gate.pass_ms(700)
+    worker.send(gate.request())
+    gate.turn()
+    gate.pass_ms(100)
+    host = gate.at_host()
+    assert gate.counter_peers and host.read()
+    host.send(VALUE)
+    gate.turn()
+    assert worker.read() == VALUE
+    version = gate.version
+    gate.pass_ms(2500)
+    gate.next_watch()
+    gate.lists()  # discovery is back
+    assert gate.reducer.watch.version > version and gate.reducer.watch.state == "open"
+    assert len(gate.reactor.getReaders()) <= 48
+    for peer in idle:
+        peer.close()
