Cold hosts get their part of answered work, so that the sum of all gateways stays bounded

Change: turns by number are gone. Work that was answered proves what hosts can do; a gateway owes the cold ones their part of it, in mean requests, and sends a request to a cold one when it owes one (Fleet.earn, cold_one). The sum over any number of gateways is the part of what a warm host did, whatever their clocks and restarts. In a cold fleet the cold ones' own answers count, and a quarter of what the settings allow goes without, to begin.

--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -33,6 +33,7 @@
 TOO_LATE, LATE = 0.45, 0.8  # of the quoted time, for a mean answer; of the time left, for a task's own
 TOO_LATE_UNSURE = 0.4  # as TOO_LATE, for tasks the counter has not let in: under load the others come first
 ENOUGH = 0.4  # forwards of ours at a host, on the mean: with fewer, a host without one may yet be busy
+FIRST_PART = 0.25  # of what a cold fleet's tasks might bring each host: sent with no answer to go by
 
 # A task: state and input give the next state and the effect, whose result is the next input.
 TASK = {
@@ -265,11 +266,10 @@
     """What this gateway knows of one host from its own forwards."""
 
     def __init__(self, now: float) -> None:
-        self.state, self.failures, self.until, self.back_at = "trusted", 0, 0.0, 0.0
+        self.state, self.failures, self.until, self.back_at, self.answered_at = "trusted", 0, 0.0, 0.0, now
         self.outs: dict[Forward, None] = {}
         self.pace = Ring(4000.0)  # answer times, and the forwards they shared the host with
         self.refuses: dict[Plan, float] = {}  # until when it is taken to refuse a plan
-        self.answered_at, self.last_sent_at = now, -LONGEST_NAME_MS
 
 
 class Fleet:
@@ -279,7 +279,8 @@
         self.now, self.seat, self.draws, self.cold, self.log = now, seat, 0, cold, log
         self.known: dict[Host, None] = {}
         self.ready, self.reach = [], []  # the ready hosts, and their registered sizes added up
-        self.turn, self.mine, self.warm = -1, [], 0  # this turn: the cold hosts that are ours, the warm ones
+        self.look_at, self.cold_ones, self.parts, self.warm = now, [], [], 0.0  # see `look_round`
+        self.credit = zlib.crc32(b"%d/%d" % (seat.seed, seat.number)) / 2**32  # mean tasks owed to cold hosts
         self.shared = False  # most hosts look bad at once
         self.judged: Judgement | None = None  # what other gateways know of hosts, where they tell each other
         self.products, self.quoted_ms = products, min(product.quoted_ms for product in products)
@@ -304,7 +305,7 @@
         self.known = {host: None for host in self.known if host.status is not Status.GONE or host.health.outs}
         self.ready = [host for host in self.known if host.status is Status.READY]
         self.reach = list(accumulate(max(host.size, 1e-9) for host in self.ready))
-        self.turn = -1
+        self.look_at = self.now
 
     def draw(self, hosts: list[Host]) -> Host:
         """One at random; of all the ready ones by registered size, where our own counts say too little."""
@@ -345,27 +346,31 @@
         age = max(0.0, self.now - began) / self.cold.warm_after_ms
         return min(1.0, self.cold.start_share + (1.0 - self.cold.start_share) * age)
 
-    def take_turns(self) -> None:
-        """Once in a turn: which cold hosts are this gateway's; gateways take turns by their number."""
-        turn = int(self.now // max(1.0, self.cold.tip_after_ms))
-        if turn != self.turn:
-            cold = [host for host in self.ready if self.warmth(host) < 1.0]
-            self.turn, self.warm = turn, len(self.ready) - len(cold)
-            bad = sum(host.health.state != "trusted" or self.silent(host) for host in self.ready)
-            self.shared = 2 * bad > len(self.ready)
-            number, gateways = self.seat.number, self.seat.gateways
-            self.mine = [host for host in cold if (turn + int(host.started_at)) % gateways == number]
-
-    def bears(self, host: Host) -> bool:
-        """Guards against pushing over a cold host: the proved part of a warm share, else one at a time."""
-        part = self.warmth(host)
-        if part >= 1.0:
-            return True
-        if host.health.outs or (self.warm and host not in self.mine):
-            return False
-        mean = sum(self.sends.sums(self.now)) / 5000.0 / max(1, self.warm)
-        due = (self.now - host.health.last_sent_at) * part * mean * self.seat.gateways
-        return due >= 1.0 or not self.warm
+    def look_round(self) -> None:
+        """Now and then: the cold hosts, the parts they bear, added up, and the size of the warm ones."""
+        if self.now >= self.look_at:
+            self.look_at = self.now + self.cold.tip_after_ms
+            self.cold_ones = [host for host in self.ready if self.warmth(host) < 1.0]
+            self.credit = self.credit if self.cold_ones else self.credit % 1.0
+            self.parts = list(accumulate(self.warmth(it) * max(it.size, 1e-9) for it in self.cold_ones))
+            self.warm = sum(max(host.size, 1e-9) for host in self.ready if self.warmth(host) >= 1.0)
+            bad = [host for host in self.ready if host.health.state != "trusted" or self.silent(host)]
+            self.shared = 2 * len(bad) > len(self.ready)
+
+    def earn(self, host: Host, size: float) -> None:
+        """Cold hosts are owed their parts of what warm ones prove; where there are none, what they do."""
+        if self.parts and (not self.warm or self.warmth(host) >= 1.0):
+            self.credit = min(2.0, self.credit + size * (self.parts[-1] / self.warm if self.warm else 1.0))
+
+    def cold_one(self, task: Task) -> Host | None:
+        """Guards against pushing over cold hosts by the sum of all gateways: they send them what `earn` owes,
+        and in a cold fleet a little more, to begin and to grow. Hurts a cold fleet: most has to wait."""
+        if not self.warm and self.parts:
+            self.credit += FIRST_PART * self.cold.overload_factor * self.parts[-1] / self.reach[-1]
+        if self.credit < 1.0 or not self.parts:
+            return None
+        self.credit -= self.size(task.product, round(task.units))
+        return self.cold_ones[bisect(self.parts, self.chance(2**32) / 2**32 * self.parts[-1])]
 
     def silent(self, host: Host) -> bool:
         """Guards against hosts that take tasks and answer none, and machines that vanish unheard."""
@@ -388,13 +393,13 @@
 
     def pick(self, task: Task, hosts: list[Host], longest: float) -> Host | None:
         """Of two drawn at random, the one our own counts favour. Where it is too slow or unfit, more are
-        drawn, since another host may have room. A cold host whose turn it is comes first."""
-        self.take_turns()
+        drawn, since another host may have room. A cold host that is owed a task comes first."""
+        self.look_round()
         tried = [forward.host for forward in task.forwards] if len(hosts) > len(task.forwards) else []
-        best, spurned, fit = None, None, 0
-        for draw in range(-len(self.mine), DRAWS) if hosts else ():
-            host = self.mine[draw] if draw < 0 else self.draw(hosts)
-            if host in tried or not self.bears(host) or (draw < 0 and hosts is not self.ready):
+        best, spurned, fit, cold = None, None, 0, self.cold_one(task) if hosts is self.ready else None
+        for draw in range(DRAWS) if hosts else ():
+            host = cold if cold is not None and not draw else self.draw(hosts)
+            if host in tried or (host is not cold and self.warmth(host) < 1.0):
                 continue
             if not self.fit(host, task):
                 spurned = host
@@ -402,7 +407,7 @@
             fit += 1
             if best is None or self.expected(host) < self.expected(best):
                 best = host
-            if (fit >= 2 or draw < 0) and self.expected(best) <= longest:
+            if (fit >= 2 or host is cold) and self.expected(best) <= longest:
                 break
         return best or spurned
 
@@ -410,7 +415,6 @@
         health = forward.host.health
         advance(HOST, health, "quarantine over", self)
         health.outs[forward] = None
-        health.last_sent_at = self.now
         if self.judged is not None:
             self.judged.sent(forward.host)
         free = [other.ending in NEVER_RAN for other in forward.task.forwards[:-1]]
@@ -441,6 +445,8 @@
             self.earned.add(self.now, task.product.benefit * task.units, size)
             for weight, *trait in (1.0,), (task.units, task.product), (1.0, task.product, round(task.units)):
                 self.sizes.setdefault(tuple(trait), Ring(20000.0)).add(self.now, took_ms * weight, weight)
+        if ending is Ending.DONE:
+            self.earn(forward.host, size)
         if ending in (Ending.DONE, Ending.ERROR, Ending.FULL):
             health.answered_at = self.now
         advance(HOST, health, signal, self)
