News is told within 6 s whatever the watch meets: list's end, back-off and dial bounded

Need: silence limit, dial limit, back-off and the wait for a first line have to stay under 6 s together (4 s after SIGHUP) in every order. Played in test_watch.py: all ordered pairs of six ways in which a watch fails.

Causes found by it: a first list that begins and trickles kept its watch for the time of a silence, 2.5 s more (watch.begun); a watch that came up and was silent was waited for at the longest back-off, as if refused (watch.turn_away); the dial's time was the hosts', which the settings may make longer than all the rest; and a list whose last line is indented was never taken, as the end was looked for at unindented lines only (discovery.WatchLink.lines). Now a list ends where all that it opened is closed.

--- a/granitedock/service/discovery.py
+++ b/granitedock/service/discovery.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any, NamedTuple
 
 import h11
@@ -18,7 +19,14 @@
 
 STATUSES = {"in_service": Status.READY, "terminating": Status.DRAINING, "terminated": Status.GONE}
 
-INDENTS = (b" ", b"\t", b"\r", b"")  # how a line begins that can't end a list
+INDENTS = (b" ", b"\t", b"\r", b"")  # how a line begins that is not looked at by itself
+STRINGS = re.compile(rb'"(?:[^"\\]|\\.)*"')
+
+
+def depth(line: bytes) -> int:
+    """How many more objects and arrays a line of JSON opens than it closes."""
+    bare = STRINGS.sub(b"", line)
+    return bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
 
 
 class Entry(NamedTuple):
@@ -75,6 +83,7 @@
         self.http = h11.Connection(h11.CLIENT)
         self.line = b""  # what has no line end yet
         self.document = b""  # lines of a list that has begun and not ended
+        self.depth = 0  # of what is open in it
         self.spoilt = False
 
     def connectionMade(self) -> None:
@@ -118,23 +127,28 @@
         for line in whole:
             if self.document or line.strip():
                 self.document += line + b"\n"
-                if line[:1] not in INDENTS:
-                    self.ended()
+                if line[:1] not in INDENTS and self.ended():
+                    continue
+                self.depth += depth(line)
+                if self.depth <= 0 and not self.ended():
+                    raise ValueError("list not whole")
             else:
                 self.tell("listed", self.record, None)
         if len(self.line) + len(self.document) > self.most:
             raise ValueError("list too long")
 
-    def ended(self) -> None:
-        """A line that is not indented may end a list; one that lacks more is waited for."""
+    def ended(self) -> bool:
+        """Whether the list is whole by now; it is told then. A line that is not indented may end one, or what
+        closes all that was opened; one that lacks more is waited for."""
         try:
             told = orjson.loads(self.document)
         except orjson.JSONDecodeError as fault:
             if fault.pos >= len(self.document):
-                return
+                return False
             raise
-        self.document = b""
+        self.document, self.depth = b"", 0
         self.tell("listed", self.record, listing(told))
+        return True
 
     def lies_unread(self) -> bool:
         return unread(self.transport)
--- a/granitedock/service/limits.py
+++ b/granitedock/service/limits.py
@@ -53,6 +53,8 @@
     counter_linger_ms: float  # and kept so long for late totals
     watch_silence_ms: float  # a watch without a line for so long is dead
     watch_first_ms: float  # and one that came up, without its first line
+    watch_list_ms: float  # or, once that has begun, without its end
+    watch_connect_ms: float
     redial_ms: float
     watch_most_ms: float  # a watch turned away again and again is dialled at most so seldom
     watch_refusals: int  # in a row while starting: the list as last had serves without waiting longer
@@ -119,6 +121,8 @@
             counter_linger_ms=10000.0,
             watch_silence_ms=2500.0,
             watch_first_ms=800.0,
+            watch_list_ms=500.0,
+            watch_connect_ms=min(250.0, float(allowed.get("ConnectTimeoutMs") or 250.0)),
             redial_ms=100.0,
             watch_most_ms=1500.0,
             watch_refusals=3,
--- a/granitedock/service/operators.py
+++ b/granitedock/service/operators.py
@@ -49,7 +49,7 @@
 
 
 def crossed(file: Operators) -> list[tuple[tuple, str]]:
-    redial, most = file.limits.redial_ms or 100.0, file.limits.watch_most_ms or 2000.0
+    redial, most = file.limits.redial_ms or 100.0, file.limits.watch_most_ms or 1500.0
     if most < redial:
         return [(("limits", "watch_most_ms"), f"less than redial_ms, {redial:g}")]
     return []
--- a/granitedock/service/serve.py
+++ b/granitedock/service/serve.py
@@ -149,12 +149,14 @@
         self.port: Any = None
         self.leaving: Any = None  # told before the process ends
 
-        def party(make, down):
-            return Dialler(reactor, tell, make, down, limits.connect_ms)
+        def party(make, down, within_ms=limits.connect_ms):
+            return Dialler(reactor, tell, make, down, within_ms)
 
         self.hosts = party(lambda: HostLink(tell, limits), "host down")
         self.counter = party(lambda: CounterLink(tell, limits), "counter down")
-        self.watch = party(lambda: WatchLink(tell, self.discovery_at, limits), "watch down")
+        self.watch = party(
+            lambda: WatchLink(tell, self.discovery_at, limits), "watch down", limits.watch_connect_ms
+        )
 
     def move(self, counter: str, discovery: str) -> tuple[bool, bool]:
         """Whether the counter and discovery are elsewhere now."""
--- a/granitedock/service/watch.py
+++ b/granitedock/service/watch.py
@@ -33,13 +33,13 @@
 
 def told_within(limits: Limits) -> float:
     """The longest that news waits here, in ms, from when discovery has it and can be reached: a watch has
-    just fallen silent, two new ones are silent too, and the third speaks; or one has just been turned away at
-    the longest back-off, the next is silent, and the one after speaks. Sweeps, which look for silence, are in
-    it."""
-    silent = limits.connect_ms + limits.watch_first_ms + limits.sweep_ms
-    after_silence = limits.watch_silence_ms + limits.sweep_ms + 2 * silent + 3 * limits.redial_ms
-    turned_away = 2 * limits.watch_most_ms + silent
-    return max(after_silence, turned_away) + limits.connect_ms
+    just fallen silent, or one has just been turned away at the longest back-off; then a new one is silent and
+    another begins a list and does not end it, or never comes up; and the one after speaks. Sweeps, which look
+    for silence, are in it."""
+    silent = limits.watch_connect_ms + limits.watch_first_ms + limits.sweep_ms + limits.redial_ms
+    unended = silent + limits.watch_list_ms
+    begins = max(limits.watch_silence_ms + limits.sweep_ms, limits.watch_most_ms)
+    return begins + silent + unended + limits.watch_connect_ms
 
 
 @dataclass(eq=False, slots=True)
@@ -48,7 +48,8 @@
     state: str = "closed"
     link: Any = None
     heard_at: float = 0.0  # a line, the beginning of one, or the connection's coming up
-    misses: int = 0  # watches before it that ended without a line
+    begun_at: float | None = None  # the first bytes of a first list
+    misses: int = 0  # watches before it that were turned away
 
 
 class DiscoveryWatch:
@@ -73,11 +74,13 @@
         return True
 
     def begun(self, watch: Watch) -> None:
-        """A list has begun and not ended. Guards large lists against the short wait for a first line; one
-        that does not end in the time of a silence is given up with its watch."""
-        if watch is self.now_used and watch.state == "asked":
-            watch.heard_at = self.owner.now
-            self.signal(watch, "heard")
+        """A first list has begun and not ended. Guards large ones against the short wait for a first line:
+        it counts from the last bytes, as long as the list is not given up for its length of time."""
+        if watch.state == "asked":
+            if watch.begun_at is None:
+                watch.begun_at = self.owner.now
+            if self.owner.now - watch.begun_at <= self.owner.limits.watch_list_ms:
+                watch.heard_at = self.owner.now
 
     def spoilt(self, watch: Watch, why: str) -> None:
         """What came is no list, or not 200: the list as last had stands."""
@@ -115,8 +118,10 @@
         owner.wake_at(owner.now + wait * (0.5 + 0.5 * owner.chance.random()), "watch due")
 
     def turn_away(self, watch: Watch) -> None:
-        """Up, and not a line: as good as refused."""
+        """Up, and not a line. That is no refusal: the next try is soon, however long the waits had become
+        before it, as news would else wait for both."""
         self.abort(watch)
+        watch.misses = 0
         self.later(watch)
 
     def abort_anew(self, watch: Watch) -> None:
