A customer first seen late under a ceiling finds its share as grown since the process began

A ceiling's share began to fill when a gateway first met the customer (Book.__init__), so that each customer's first requests at each gateway were refused; the known sites have few customers under a ceiling.

Change: the share fills from the process's beginning, 30 s at most (a book that was dropped has rested for 60 s). That is what it would be had the customer been known, and not used, from the beginning; a restart begins anew, so the sum over all gateways and restarts is bounded as before. Ruled out: lateness (expected 54 of 81 ms).

Test: seen to fail without the change (1 of 11 requests); the sum over three lives of two gateways stays bounded.

--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -27,13 +27,12 @@
 HOST_FAILURES, ASIDE = 3, 3.0  # in a row set a host aside; quoted times, then one trial task
 SILENT_AFTER, FAIR_TIME = 4.0, 2.0  # mean answer times: no sign of life; a shorter time-out proves nothing
 PATIENCE = 3.0  # mean answer times before a forward at a silent host is withdrawn to be made again
-DRAWS = 12  # hosts looked at for one task at most, however large the fleet
+DRAWS, FIRST_PART = 12, 0.25  # hosts looked at for a task; part of a cold fleet's tasks sent unproved
 SPARE_FORWARDS, SPARE_AT_LEAST = 0.15, 3.0  # further forwards: a part of first ones, and a few more
 FIRST_GUESS, GUESS_WEIGHT = 0.3, 12.0  # an answer's time, of the quoted time, before any; in answers
 TOO_LATE, LATE = 0.45, 0.8  # of the quoted time, for a mean answer; of the time left, for a task's own
 TOO_LATE_UNSURE = 0.4  # as TOO_LATE, for tasks the counter has not let in: under load the others come first
 ENOUGH = 0.4  # forwards of ours at a host, on the mean: with fewer, a host without one may yet be busy
-FIRST_PART = 0.25  # of what a cold fleet's tasks might bring each host: sent with no answer to go by
 
 # A task: state and input give the next state and the effect, whose result is the next input.
 TASK = {
@@ -168,7 +167,7 @@
 class Book:
     """One customer's account at this gateway: the two-window count, and the local buckets."""
 
-    def __init__(self, plan: Plan, spread: int, now: float, first: int = 0) -> None:
+    def __init__(self, plan: Plan, spread: int, now: float, first: int = 0, began: float = 1e18) -> None:
         self.plan, self.spread = plan, max(1, spread)
         self.sharers = self.spread  # of the emergency bucket
         longest = LONGEST_NAME_MS / NAMES_LAST
@@ -183,9 +182,10 @@
         self.spell, self.seen_at = 0.0, now  # units used in this spell beyond what the rate has paid
         self.debt, self.out, self.touched_at = 0.0, 0, now  # the debt: units owed back to the current name
         self.local: Bucket | None = None  # the emergency bucket, while the counter gives no answers
-        # A ceiling's share starts as low as the slack allows: no restart can be told from a first start.
+        # A ceiling's share starts, with the process, as low as the slack allows: it may not be the first start.
         full = plan.ceiling_rate, plan.ceiling_burst, plan.ceiling_slack / 2
-        self.ceiling = Bucket(*(units / self.spread for units in full), now) if full[0] > 0 else None
+        at = min(now, max(began, now - LONGEST_NAME_MS / 2))  # a book dropped before has rested for longer
+        self.ceiling = Bucket(*(units / self.spread for units in full), at) if full[0] > 0 else None
 
     def turn(self, now: float) -> None:
         """Come to the window of now; the previous count is the last total told of that name."""
@@ -484,7 +484,7 @@
     def __init__(
         self, door: Door, now: float, seat: Seat, goods: list, leave: Leave, cold: Cold, counter: bool
     ) -> None:
-        self.door, self.now, self.leave, self.has_counter = door, now, leave, counter
+        self.door, self.began, self.now, self.leave, self.has_counter = door, now, now, leave, counter
         self.peers: Peers | None = None  # a view of the other gateways, where there is one
         self.shared: Shared | None = None  # units let in without the counter, where gateways tell each other
         self.lefts, self.usual = {}, {}  # how often each time left was seen, and the most usual, by product
@@ -657,7 +657,7 @@
         """The customer's book. Guards against floods of customers seen once: old ones are dropped."""
         customer = task.customer
         if customer.book is None:
-            customer.book = Book(task.plan, task.spread, self.now, task.first)
+            customer.book = Book(task.plan, task.spread, self.now, task.first, self.began)
         self.books.pop(customer, None)
         self.books[customer] = None
         customer.book.touched_at = self.now
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -179,6 +179,32 @@
     assert used <= 40 + 4 + 2 * 20 * 25 * 0.02
 
 
+def test_a_customer_seen_late_under_a_ceiling_finds_what_its_share_gained_since_the_process_began():
+    # A deployment whose one plan has a ceiling refused half of what was within quota: each gateway met each
+    # customer rarely, and each first request found a share that had only just begun to fill.
+    for began_ms_ago, least, most in ((0, 1, 3), (1000, 11, 13), (20000, 20, 20)):
+        story = Story(gateways=2)
+        story.pass_ms(began_ms_ago)
+        for _ in range(30):
+            story.ask(
+                plan=CAPPED, customer=(customer := Customer(5)) if not story.calls else customer, units=1
+            )
+            story.counter(total=1)
+            story.ends(Ending.DONE) if story.forwards and story.forwards[-1].ending is None else None
+        assert least <= len(story.forwards) <= most, began_ms_ago
+    # The same as if the customer had been known, and not used, from the beginning; a restart begins anew.
+    used = 0
+    for _life in range(3):
+        for number in range(2):
+            story, customer = Story(number=number), Customer(5)
+            story.pass_ms(2000)
+            for _ in range(80):
+                story.ask(plan=CAPPED, customer=customer, units=1)
+                story.pass_ms(25)
+            used += len(story.forwards)
+    assert used <= 40 + 4 + 3 * 4000 * 0.02
+
+
 def test_a_plan_that_limits_tasks_out_at_once():
     story, customer = Story(), Customer(5)
     for _ in range(4):
