--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -183,14 +183,13 @@
     # A deployment whose one plan has a ceiling refused half of what was within quota: each gateway met each
     # customer rarely, and each first request found a share that had only just begun to fill.
     for began_ms_ago, least, most in ((0, 1, 3), (1000, 11, 13), (20000, 20, 20)):
-        story = Story(gateways=2)
+        story, customer = Story(gateways=2), Customer(5)
         story.pass_ms(began_ms_ago)
         for _ in range(30):
-            story.ask(
-                plan=CAPPED, customer=(customer := Customer(5)) if not story.calls else customer, units=1
-            )
+            story.ask(plan=CAPPED, customer=customer, units=1)
             story.counter(total=1)
-            story.ends(Ending.DONE) if story.forwards and story.forwards[-1].ending is None else None
+            if story.forwards and story.forwards[-1].ending is None:
+                story.ends(Ending.DONE)
         assert least <= len(story.forwards) <= most, began_ms_ago
     # The same as if the customer had been known, and not used, from the beginning; a restart begins anew.
     used = 0
