--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -182,7 +182,7 @@
         self.spell, self.seen_at = 0.0, now  # units used in this spell beyond what the rate has paid
         self.debt, self.out, self.touched_at = 0.0, 0, now  # the debt: units owed back to the current name
         self.local: Bucket | None = None  # the emergency bucket, while the counter gives no answers
-        # A ceiling's share starts with the process, as low as the slack allows: it may not be the first start.
+        # A ceiling's share starts with the process, as low as the slack allows: it may be no first start.
         full = plan.ceiling_rate, plan.ceiling_burst, plan.ceiling_slack / 2
         at = min(now, max(began, now - LONGEST_NAME_MS / 2))  # a book dropped before has rested for longer
         self.ceiling = Bucket(*(units / self.spread for units in full), at) if full[0] > 0 else None
