--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -122,3 +122,17 @@
 def test_the_bound_holds_by_the_limits_themselves_whatever_the_settings_say_of_hosts(connect_ms):
     born = BORN | {"Allowed": BORN["Allowed"] | {"ConnectTimeoutMs": connect_ms}}
     assert told_within(Limits.told({"settings": born})) <= 6000.0
+
+
+@pytest.mark.parametrize("known", [True, False])
+@pytest.mark.parametrize("way", ["silent", "head only", "half", "refused", "never up", "shed"])
+def test_a_start_is_over_in_ten_seconds_whatever_discovery_does_and_with_no_known_hosts(way, known):
+    wired = Wired(hosts=2 if known else 0)
+    front = wired.client()
+    front.link.dataReceived(b"*1\r\n$4\r\nPING\r\n")
+    discovery = Discovery(wired, [way] * 99)
+    while not front.written:
+        assert wired.now - 100000.0 < 10000.0
+        discovery.pass_ms(50)
+    assert front.took() == b"+PONG\r\n" and wired.reducer.state == "serving"
+    assert wired.now - 100000.0 <= (1100.0 if known else wired.limits.ready_most_ms + 100.0)
