A stop before the first list refuses what waits; the port closes with the last one taken in

SIGTERM while the process waits for its first list handed what waited to the decisions, which sent it on by the list it was handed at birth; that may be old, and what discovery has counts as told from the first moment (Lifecycle.stay_open, hand_over). Now it is refused, as is what comes until a list is heard.

stopListening closes the port a turn of the loop later; connections that came in it were reset (Doors.shut). Now the port closes right after the last accept.

--- a/granitedock/service/lifecycle.py
+++ b/granitedock/service/lifecycle.py
@@ -16,6 +16,7 @@
     ("starting", "overlong"): ("serving", "open_up"),
     ("starting", "ending"): ("draining", "stay_open"),
     ("serving", "ending"): ("draining", "stay_open"),
+    ("draining", "listed"): ("draining", "hear_list"),
     ("draining", "shut"): ("closing", "shut_door"),
     ("closing", "look"): ("closing", "look_round"),
     ("closing", "idle"): ("left", "leave"),
@@ -30,11 +31,18 @@
 class Lifecycle:
     def __init__(self, owner: Any) -> None:
         self.owner, self.state, self.shut_at = owner, "starting", float("inf")
+        self.opened = False  # a list was heard, or waited for as long as it may be
 
     @property
     def shutting(self) -> bool:
         return self.state in SHUTTING
 
+    @property
+    def refusing(self) -> bool:
+        """Requests are refused at once: the process shuts, or was told to before it had heard a list. Guards
+        hosts that drain by a list that the process never heard: what it was handed may be old."""
+        return self.shutting or (self.state == "draining" and not self.opened)
+
     def signal(self, signal: str) -> None:
         owner, before = self.owner, self.state
         advance(STATES, self, signal, self)
@@ -53,7 +61,11 @@
         PONG."""
         return "listed" if self.owner.places else None
 
+    def hear_list(self, _self: Any) -> None:
+        self.opened = True
+
     def open_up(self, _self: Any) -> None:
+        self.opened = True
         self.owner.answer_pings(b"+PONG\r\n")
         self.owner.hand_over()
 
--- a/granitedock/service/reducer.py
+++ b/granitedock/service/reducer.py
@@ -268,7 +268,7 @@
         unheard, self.unheard = self.unheard, []
         for errand in unheard:
             if errand in self.errands:
-                self.gateway.take(errand)
+                (self.refuse if self.lifecycle.refusing else self.gateway.take)(errand)
 
     # Clients.
 
@@ -445,17 +445,14 @@
         self.ids[ask.id] = errand
         self.held += errand.size
         if (
-            self.lifecycle.shutting
+            self.lifecycle.refusing
             or len(self.errands) > self.limits.tasks
             or self.held > self.limits.held
             or len(caller.queue) > self.limits.queue
         ):
             # Guards the memory, and what is asked of a process that shuts, behind an answer that is still
-            # due: it may be gone before this one is answered. The decisions give it up, as one never
-            # forwarded.
-            self.gateway.book(errand).turn(self.now)
-            errand.state = "over"
-            self.gateway.give_up(errand)
+            # due: it may be gone before this one is answered.
+            self.refuse(errand)
             return
         # Guards against whatever leaves a task with nothing that will bring it back, as a fault in a decision
         # does: an error promises nothing, and comes in time.
@@ -465,6 +462,12 @@
         else:
             self.gateway.take(errand)
 
+    def refuse(self, errand: Errand) -> None:
+        """The decisions give it up, as one never forwarded."""
+        self.gateway.book(errand).turn(self.now)
+        errand.state = "over"
+        self.gateway.give_up(errand)
+
     def forgotten(self, errand: Errand) -> None:
         self.counts["forgotten"] += 1
         self.diary.event("forgotten", state=errand.state, forwards=len(errand.forwards))
--- a/granitedock/service/serve.py
+++ b/granitedock/service/serve.py
@@ -17,10 +17,11 @@
 from typing import Any
 
 from twisted.internet.epollreactor import EPollReactor
-from twisted.internet.error import CannotListenError
+from twisted.internet.error import CannotListenError, ConnectionDone
 from twisted.internet.main import installReactor
 from twisted.internet.tcp import Port
 from twisted.logger import globalLogBeginner
+from twisted.python.failure import Failure
 
 from granitedock import BEGAN_MS
 from granitedock.service.clients import ClientDoor
@@ -129,14 +130,16 @@
         self.numberAccepts = self.accepts
         super().doRead()
 
-    def take_rest(self) -> None:
+    def close(self) -> None:
         """Guards requests on connections that wait to be accepted when the port closes: the machine has taken
-        them, and closing would reset them."""
+        them, and closing would reset them. The port closes at once after the last of them, not a turn of the
+        loop later (as `stopListening` does), in which more would come."""
         for _ in range(self.backlog):
             before = self.sessionno
             self.doRead()
             if self.sessionno == before:
-                return
+                break
+        self.connectionLost(Failure(ConnectionDone()))
 
 
 class Doors:
@@ -177,8 +180,7 @@
             (self.port.startReading if on else self.port.stopReading)()
 
     def shut(self) -> None:
-        self.port.take_rest()
-        self.port.stopListening()
+        self.port.close()
 
     def leave(self) -> None:
         """Every client has gone by now, or the time that we are given is over."""
