--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -7,7 +7,7 @@
 
 import pytest
 from fakehost import BORN
-from live import VALUE, WATCHED, Live, Peer, answer, chunk
+from live import VALUE, WATCHED, Live, Peer, Server, answer, chunk
 
 from granitedock.service.resp import command
 
@@ -191,6 +191,25 @@
             signal.signal(number, act)
 
 
+def test_further_signals_while_the_process_drains_move_discovery_and_nothing_else(live, tmp_path):
+    gate = live()
+    client, elsewhere = gate.client(), Server()
+    host = out_at_host(gate, client)
+    gate.service.stop_soon()
+    gate.pass_ms(300)
+    told = json.loads((tmp_path / "told.json").read_text()) | {"discovery": elsewhere.address}
+    (tmp_path / "told.json").write_text(json.dumps(told))
+    gate.service.read_anew()
+    gate.service.stop_soon()  # and once more: the time of the first one counts
+    gate.turn()
+    assert elsewhere.take().read().startswith(b"GET ")
+    gate.pass_ms(gate.limits.open_ms - 300 + 1)
+    assert gate.reducer.state == "closing"
+    host.send(VALUE)
+    gate.turn()
+    assert client.read() == VALUE and client.ended == "closed"
+
+
 def test_an_answer_given_at_the_end_calls_off_an_attempt_still_on_its_way_up(live):
     gate = live(lanes=PATIENT)
     gate.hold_dials()
