Scale measurements: hosts, plans, view, requests, calls and hollow gateways

The operators' size in two years (500 gateways, 7,900 hosts, 21,000 plans) has to be told in slopes before anything is designed by it. Measurements of their own processes, a discovery stand-in at fleet size and hollow gateways (the real reducer, watch and view, no clients). The lab's discovery stand-in takes its hosts from a file, as thousands do not fit the command line.

--- a/granitedock/lab/discovery.py
+++ b/granitedock/lab/discovery.py
@@ -7,7 +7,7 @@
 (open and silent), `late_lists` (each list written `factor` seconds late), `wrong_lists` (addresses that lead
 nowhere). HTTP is read and written by h11.
 
-Run as `python -m granitedock.lab.discovery SCENARIO HOSTS`, where HOSTS is the JSON line that
+Run as `python -m granitedock.lab.discovery SCENARIO HOSTS`, where HOSTS is a file that holds the JSON line that
 `granitedock.lab.hosts` printed: it prints its own address as one JSON line and serves until SIGTERM.
 """
 
@@ -16,6 +16,7 @@
 import sys
 import time
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import h11
@@ -169,7 +170,7 @@
 
 
 def main(argv: list[str]) -> int:
-    discovery = Discovery(load(argv[1]), orjson.loads(argv[2]))
+    discovery = Discovery(load(argv[1]), orjson.loads(Path(argv[2]).read_bytes()))
     address = discovery.listen()
     discovery.tick()
     return serve(address)
--- /dev/null
+++ b/granitedock/lab/scale/hosts.py
@@ -0,0 +1,81 @@
+"""What one gateway pays per host: the list, a change of it, the periodic work and memory."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from granitedock.lab.scale.platform import host_list, instance, platform_file
+from granitedock.lab.scale.probe import MIB, allocated_bytes, cpu_ms
+from granitedock.service.discovery import Listing, listing
+from granitedock.service.limits import Limits
+from granitedock.service.reducer import Reducer
+
+
+@dataclass(frozen=True, slots=True)
+class HostCost:
+    """At so many hosts: bytes of a whole list, processor ms, MiB."""
+
+    hosts: int
+    list_bytes: int
+    read_ms: float
+    take_in_ms: float
+    change_bytes: int
+    change_ms: float
+    sweep_ms: float
+    look_round_ms: float
+    memory_mb: float
+
+
+class Silent:
+    """Doors and log of a reducer whose effects nobody carries out."""
+
+    def __init__(self) -> None:
+        self.counts: Counter[str] = Counter()
+
+    def event(self, event: str, **figures: Any) -> None:
+        """Nobody reads it here."""
+
+    def __getattr__(self, name: str) -> Any:
+        return lambda *_: None
+
+
+def reducer(told: dict[str, Any]) -> Reducer:
+    """A gateway's state machine that has spoken with nobody yet."""
+    silent = Silent()
+    return Reducer(1e12, Limits.told(told), told["settings"], 7, None, silent, silent)
+
+
+def filled(whole: Listing) -> Reducer:
+    """A gateway's state machine that has taken this list in."""
+    machine = reducer(platform_file())
+    machine.entries(whole)
+    return machine
+
+
+def measure(count: int) -> HostCost:
+    """One gateway that takes in a list of `count` hosts and then one change of it."""
+    line = orjson.dumps(host_list(count))
+    change = orjson.dumps(
+        {"generation": 2, "reset": False, "instances": [instance(0, lifecycle="terminating")]}
+    )
+    machine = reducer(platform_file())
+    read_ms = cpu_ms(lambda: listing(orjson.loads(line)))
+    whole = listing(orjson.loads(line))
+    take_in_ms = cpu_ms(lambda: machine.entries(whole), 1)
+    memory = allocated_bytes(lambda: filled(whole)) / MIB
+    change_ms = cpu_ms(lambda: machine.entries(listing(orjson.loads(change))))
+    sweep_ms = cpu_ms(machine.sweep)
+    fleet = machine.gateway.fleet
+
+    def look_round() -> None:
+        fleet.look_at = fleet.now
+        fleet.look_round()
+
+    look_round_ms = cpu_ms(look_round)
+    return HostCost(
+        count, len(line), read_ms, take_in_ms, len(change), change_ms, sweep_ms, look_round_ms, memory
+    )
--- /dev/null
+++ b/granitedock/lab/scale/sizes.py
@@ -0,0 +1,83 @@
+"""The operators' size in two years, and the sizes at which slopes are measured.
+
+Counts and budgets are the operators' own figures (docs/CAPACITY.md); nothing here is measured.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+SECONDS_A_DAY = 86_400.0
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorSize:
+    """Counts of the deployment, rates per second unless the name says otherwise, and budgets of a gateway."""
+
+    gateways: int = 500
+    hosts: int = 7_900
+    services: int = 360
+    requests_a_second: float = 80_000.0
+    routes: int = 12_000
+    plans: int = 21_000  # one a tenant
+    regions: int = 2
+    zones: int = 5
+    added_p99_ms: float = 5.8
+    changes_a_day: float = 1_100.0
+    change_within_s: float = 10.0
+    control_core: float = 0.017  # of one core, a gateway
+    control_memory_mb: float = 64.0
+    control_bytes_a_second: float = 13_000.0
+    control_machines: int = 4
+    failures_a_day: float = 28.0
+    restarts_a_day: float = 820.0
+
+    @property
+    def requests_a_gateway(self) -> float:
+        return self.requests_a_second / self.gateways
+
+    @property
+    def changes_a_second(self) -> float:
+        return self.changes_a_day / SECONDS_A_DAY
+
+
+@dataclass(frozen=True, slots=True)
+class Sizes:
+    """At which counts each measurement is taken."""
+
+    hosts: tuple[int, ...]
+    plans: tuple[int, ...]
+    gateways: tuple[int, ...]
+    request_hosts: tuple[int, ...]
+    counter_connections: tuple[int, ...]
+    request_seconds: float
+    counter_seconds: float
+    view_seconds: float
+    hollow_gateways: tuple[int, ...]
+    hollow_hosts: int
+
+
+FULL = Sizes(
+    hosts=(500, 2_000, 4_000, 7_900),
+    plans=(1_000, 4_000, 8_000, 21_000),
+    gateways=(40, 200, 500, 1_000),
+    request_hosts=(20, 500, 2_000, 7_900),
+    counter_connections=(4, 100, 1_000, 4_000),
+    request_seconds=10.0,
+    counter_seconds=4.0,
+    view_seconds=10.0,
+    hollow_gateways=(50, 125, 250, 500),
+    hollow_hosts=7_900,
+)
+QUICK = Sizes(
+    hosts=(500, 2_000, 4_000, 7_900),
+    plans=(1_000, 4_000, 8_000, 21_000),
+    gateways=(40, 200),
+    request_hosts=(20,),
+    counter_connections=(4, 100),
+    request_seconds=4.0,
+    counter_seconds=1.0,
+    view_seconds=3.0,
+    hollow_gateways=(50,),
+    hollow_hosts=500,
+)
--- a/tests/test_lab_discovery.py
+++ b/tests/test_lab_discovery.py
@@ -47,8 +47,9 @@
 
 
 def test_discovery_tells_the_list_and_a_drain_and_goes_down_and_back(tmp_path):
-    hosts = json.dumps({"east/0": "127.0.0.1:5000"})
-    with spawned("discovery", tmp_path, SCENARIO, hosts) as said:
+    hosts = tmp_path / "hosts.json"
+    hosts.write_text(json.dumps({"east/0": "127.0.0.1:5000"}))
+    with spawned("discovery", tmp_path, SCENARIO, str(hosts)) as said:
         address = said
         began = time.monotonic()
         line = watch(address)
