--- a/granitedock/lab/hollow.py
+++ b/granitedock/lab/hollow.py
@@ -1,12 +1,12 @@
 """Hollow gateways: the real state machines over real loopback sockets, with no clients, many to a process.
 
-Each has the reducer with its watch on discovery, the view of the fleet where addresses are given, and follows the
-configuration where control addresses are given. What a client, a host or the counter would bring is left out, so
-hundreds of gateways fit one machine and what control costs them can be measured.
+Each has the reducer with its watch on discovery, the view of the fleet where addresses are given, and follows
+the configuration where control addresses are given. What a client, a host or the counter would bring is left
+out, so hundreds of gateways fit one machine and what control costs them can be measured.
 
-Run as `python -m granitedock.lab.hollow`: the first line on standard input is a `HollowOrder` as JSON; it answers
-with one line once all have started, then takes `{"status": true}` and answers with a `HollowStatus` as JSON.
-"""
+Run as `python -m granitedock.lab.hollow`: the first line on standard input is a `HollowOrder` as JSON; it
+answers with one line once all have started, then takes `{"status": true}` and answers with a `HollowStatus`
+as JSON."""
 
 from __future__ import annotations
 
@@ -16,7 +16,6 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
-import orjson
 from twisted.internet import reactor as default_reactor
 
 from granitedock.lab.running import serve
@@ -91,7 +90,8 @@
 
 
 class HollowDoors:
-    """What a hollow gateway's reducer may ask for: timers and the watch. It has no host, client or counter."""
+    """What a hollow gateway's reducer may ask for: timers and the watch. It has no host, client or
+    counter."""
 
     def __init__(self, gateway: HollowGateway, address: str) -> None:
         self.gateway, self.address = gateway, address
--- a/granitedock/lab/scale/plans.py
+++ b/granitedock/lab/scale/plans.py
@@ -20,8 +20,8 @@
 
 @dataclass(frozen=True, slots=True)
 class PlanCost:
-    """At so many plans: bytes of the platform's file, processor ms to read and check it, MiB of the plans, and
-    bytes of one customer's book."""
+    """At so many plans: bytes of the platform's file, processor ms to read and check it, MiB of the plans,
+    and bytes of one customer's book."""
 
     plans: int
     file_bytes: int
--- a/granitedock/lab/scale/requests.py
+++ b/granitedock/lab/scale/requests.py
@@ -34,8 +34,8 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestCost:
-    """One gateway at `rate` requests a second: its processor time a request (us), the answers' times (ms), and
-    those of the same load on the hosts directly; connections to hosts and MiB held at the end."""
+    """One gateway at `rate` requests a second: its processor time a request (us), the answers' times (ms),
+    and those of the same load on the hosts directly; connections to hosts and MiB held at the end."""
 
     hosts: int
     counting: bool
--- a/granitedock/lab/scale/roster.py
+++ b/granitedock/lab/scale/roster.py
@@ -1,12 +1,11 @@
 """A discovery stand-in at fleet size: thousands of hosts, hundreds of watches, whole lists and changes.
 
-The wire is that of `lab/discovery.py`. A new watch gets the whole list; later changes go out as lists that name
-only what changed (`"reset": false`). A silent stand-in leaves its watches open and writes nothing.
+The wire is that of `lab/discovery.py`. A new watch gets the whole list; later changes go out as lists that
+name only what changed (`"reset": false`). A silent stand-in leaves its watches open and writes nothing.
 
-Run as `python -m granitedock.lab.scale.roster HOSTS`: prints its address as one JSON line, takes one JSON command
-a line on standard input (`{"change": N}`, `{"silent": true}`) and answers each with one JSON line: the list's
-generation, watches open and processor seconds used.
-"""
+Run as `python -m granitedock.lab.scale.roster HOSTS`: prints its address as one JSON line, takes one JSON
+command a line on standard input (`{"change": N}`, `{"silent": true}`) and answers each with one JSON line:
+the list's generation, watches open and processor seconds used."""
 
 from __future__ import annotations
 
