Configuration service: documents, changes, control processes and followers

Need: a change of plans or classes is in force only by a new file and a restart of each gateway (docs/CAPACITY.md). Off unless an operators' file turns it on. A plan keeps its counting window over a change.

--- a/granitedock/birth.py
+++ b/granitedock/birth.py
@@ -17,39 +17,43 @@
     return 0.0 if value is None else float(value)
 
 
+def product(record: dict[str, Any]) -> Product:
+    """A request class of the settings."""
+    return Product(
+        name=record["Name"],
+        kind=KINDS[record["Repeat"]],
+        group=Group(record.get("DedupScope") or "all"),
+        group_ms=number(record, "WindowMs"),
+        quoted_ms=number(record, "TargetMs"),
+        cutoff_ms=number(record, "GiveUpMs"),
+        benefit=number(record, "Worth"),
+        late_benefit=number(record, "LateWorth"),
+        stream=bool(record.get("Stream")),
+    )
+
+
 def products(born: dict[str, Any]) -> list[Product]:
-    return [
-        Product(
-            name=lane["Name"],
-            kind=KINDS[lane["Repeat"]],
-            group=Group(lane.get("DedupScope") or "all"),
-            group_ms=number(lane, "WindowMs"),
-            quoted_ms=number(lane, "TargetMs"),
-            cutoff_ms=number(lane, "GiveUpMs"),
-            benefit=number(lane, "Worth"),
-            late_benefit=number(lane, "LateWorth"),
-            stream=bool(lane.get("Stream")),
-        )
-        for lane in born["Lanes"]
-    ]
+    return [product(record) for record in born["Lanes"]]
+
+
+def plan(record: dict[str, Any]) -> Plan:
+    """A plan of the settings."""
+    return Plan(
+        name=record["Name"],
+        rate=number(record, "Refill") * PER_MS,
+        burst=number(record, "MostAtOnce"),
+        most_out=int(number(record, "Concurrency")),
+        benefit_factor=number(record, "WorthFactor"),
+        over_benefit=number(record, "OverWorth"),
+        over_cost=number(record, "ExcessCost"),
+        ceiling_rate=number(record, "CeilingRate") * PER_MS,
+        ceiling_burst=number(record, "CeilingBurst"),
+        ceiling_slack=number(record, "Tolerance"),
+    )
 
 
 def plans(born: dict[str, Any]) -> list[Plan]:
-    return [
-        Plan(
-            name=tariff["Name"],
-            rate=number(tariff, "Refill") * PER_MS,
-            burst=number(tariff, "MostAtOnce"),
-            most_out=int(number(tariff, "Concurrency")),
-            benefit_factor=number(tariff, "WorthFactor"),
-            over_benefit=number(tariff, "OverWorth"),
-            over_cost=number(tariff, "ExcessCost"),
-            ceiling_rate=number(tariff, "CeilingRate") * PER_MS,
-            ceiling_burst=number(tariff, "CeilingBurst"),
-            ceiling_slack=number(tariff, "Tolerance"),
-        )
-        for tariff in born["Tariffs"]
-    ]
+    return [plan(record) for record in born["Tariffs"]]
 
 
 def leave(born: dict[str, Any]) -> Leave:
--- /dev/null
+++ b/granitedock/configuration/gateway.py
@@ -0,0 +1,99 @@
+"""The configuration in force at one gateway: plans, classes and customers' books. No I/O.
+
+A change acts between two inputs of the gateway, whole. Requests in hand keep the plan and class that they
+were taken with; their customers' books are those of the new plan."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from operator import attrgetter
+from typing import Any
+
+from granitedock import birth
+from granitedock.configuration.change_form import WINDOW
+from granitedock.configuration.document import ConfigurationError, Contents, Prepared, Record, Section
+from granitedock.configuration.messages import VersionedChange
+from granitedock.configuration.transition import Transitions, carried
+from granitedock.configuration.windows import window_of
+from granitedock.policy.interface import Plan, Product
+
+PLAN_FIELDS = attrgetter(*(name for name in Plan.__slots__ if name != "window_ms"))
+Entry = Plan | Product
+
+
+def same_plan(one: Plan, other: Plan) -> bool:
+    """Whether both mean the same to a customer; a window that is not stated follows from burst and rate."""
+    return PLAN_FIELDS(one) == PLAN_FIELDS(other) and window_of(one) == window_of(other)
+
+
+class GatewayConfiguration:
+    """Keeps a followed document in force at one gateway (`service/reducer.py`). `clock()` is Unix ms."""
+
+    def __init__(self, reducer: Any, clock: Any) -> None:
+        self.reducer, self.clock = reducer, clock
+        self.transitions = Transitions()
+        reducer.gateway.open_book = self.transitions.open_book
+
+    def keep(self, section: Section, record: Record) -> Entry:
+        try:
+            if section is Section.CLASSES:
+                return birth.product(record)
+            return replace(birth.plan(record), window_ms=float(record.get(WINDOW) or 0.0))
+        except (KeyError, ValueError, TypeError) as fault:
+            raise ConfigurationError(
+                f"{section.value}: {record.get('Name')!r}: {type(fault).__name__}: {fault}"
+            ) from None
+
+    def change(self, change: VersionedChange, prepared: Prepared[Entry]) -> None:
+        """Some plans and classes are put or removed."""
+        put: dict[Section, dict[str, Entry]] = {section: {} for section in Section}
+        for section, name, value, _ in prepared.values:
+            put[section][name] = value
+        gone = {section: [] for section in Section}
+        for section, name in prepared.removals:
+            gone[section].append(name)
+        self.put_plans(put[Section.PLANS], gone[Section.PLANS])
+        if put[Section.CLASSES] or gone[Section.CLASSES]:
+            classes = self.reducer.products | put[Section.CLASSES]
+            for name in gone[Section.CLASSES]:
+                del classes[name]
+            self.put_classes(classes)
+
+    def replace(self, before: Contents[Entry], fresh: Contents[Entry]) -> None:
+        """A whole document: what is not in it is gone, also what the platform's file had."""
+        plans = fresh.values[Section.PLANS]
+        held = self.reducer.plans
+        for name, plan in plans.items():
+            if name in held and held[name] is not plan and same_plan(held[name], plan):
+                plans[name] = held[name]
+        self.put_plans(plans, [name for name in held if name not in plans])
+        self.put_classes(dict(fresh.values[Section.CLASSES]))
+
+    def put_plans(self, plans: dict[str, Plan], gone: list[str]) -> None:
+        """The books of customers whose plans changed go on under the new ones. A customer of a removed plan
+        keeps its book, as requests in hand need it; new ones are refused for want of the plan."""
+        reducer, now = self.reducer, self.clock()
+        moved = {}
+        for name, plan in plans.items():
+            before = reducer.plans.get(name)
+            if before is plan:
+                continue
+            if before is not None:
+                self.transitions.changed(before, now)
+            if before is not None or name in self.transitions.former:  # or removed of late, and back
+                moved[name] = plan
+            reducer.plans[name] = plan
+        for name in gone:
+            self.transitions.changed(reducer.plans.pop(name), now)
+        if moved:
+            reducer.gateway.at(now)
+            for customer in reducer.gateway.books:
+                if (plan := moved.get(customer.book.plan.name)) is not None:
+                    customer.book = carried(customer.book, plan, now)
+
+    def put_classes(self, classes: dict[str, Product]) -> None:
+        """The process's own end (`limits.leave_ms`) stays by the classes that it began with."""
+        self.reducer.products = classes
+        fleet = self.reducer.gateway.fleet
+        fleet.products[:] = classes.values()
+        fleet.quoted_ms = min(product.quoted_ms for product in fleet.products)
--- /dev/null
+++ b/granitedock/configuration/settings.py
@@ -0,0 +1,63 @@
+"""The operators' files of the configuration service, TOML checked by pydantic.
+
+`GatewayFile`: how a gateway follows (`granitedock serve --configuration FILE`). `ControlFile`: one control
+process (`granitedock control --config FILE`). For operators: docs/configuration-service.md."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import AfterValidator, Field
+
+from granitedock.tomlfile import FileError, Found, Strict, checked, read
+
+
+def address(text: str) -> str:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"not an address, HOST:PORT: {text!r}")
+    return text
+
+
+Address = Annotated[str, AfterValidator(address)]
+Cluster = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,31}$")]
+
+
+class GatewayFile(Strict):
+    """Where a gateway finds control, and where it keeps a copy of what it has in force over its restarts."""
+
+    enabled: bool
+    cluster: Cluster = "granitedock"
+    control: Annotated[list[Address], Field(min_length=1, max_length=16)]
+    copy_file: str | None = None
+
+
+class ControlFile(Strict):
+    """One control process. `follow` names the writer, or other replicas, for a replica; the writer has
+    none."""
+
+    cluster: Cluster = "granitedock"
+    name: Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
+    listen: Address
+    store: str
+    follow: Annotated[list[Address], Field(max_length=16)] = []
+
+
+def same_address(file: ControlFile) -> Found:
+    if file.listen in file.follow:
+        return [(("follow",), f"this process's own address, {file.listen}")]
+    return []
+
+
+def load_gateway(path: str | Path) -> GatewayFile:
+    """Read and check a gateway's file. Raises tomlfile.FileError."""
+    return checked(read(path), str(path), GatewayFile)
+
+
+def load_control(path: str | Path) -> ControlFile:
+    """Read and check a control process's file. Raises tomlfile.FileError."""
+    return checked(read(path), str(path), ControlFile, same_address)
+
+
+__all__ = ["ControlFile", "FileError", "GatewayFile", "load_control", "load_gateway"]
--- /dev/null
+++ b/granitedock/configuration/transition.py
@@ -0,0 +1,88 @@
+"""A customer's book over a change of its plan. No I/O.
+
+What is in force for a customer at a gateway is its book (`policy/decisions.py`): the two-window count, the
+spell, the local buckets. A changed plan brings a new book that takes over what was used, so that no change
+gives a fresh burst: with the same window the count goes on under the same names; with another window the
+spell goes on, and a customer whose use this gateway does not know is taken to have used the whole burst when
+the plan changed. A hard ceiling that is lowered holds from that moment, one that is raised grows from that
+moment by the new rate."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+from granitedock.policy.decisions import LONGEST_NAME_MS, Book
+from granitedock.policy.interface import Plan
+
+COUNTED = ("window", "current", "previous", "debt", "journal", "added", "raw", "lapse", "still")
+HEARD = ("heard", "before")
+REMEMBERED_MS = LONGEST_NAME_MS  # so long a plan as it was before a change matters to books made since
+
+
+@dataclass(frozen=True, slots=True)
+class Former:
+    """A plan as it was, and when it ceased to be in force (Unix ms)."""
+
+    plan: Plan
+    until: float
+
+
+def carried(book: Book, plan: Plan, now: float) -> Book:
+    """The book that goes on from `book` under another plan."""
+    made = Book(plan, book.spread, now, book.quota.first, now)
+    made.out, made.touched_at = book.out, book.touched_at
+    made.spell, made.seen_at = max(0.0, book.spell_at(now)), now
+    if made.window_ms == book.window_ms:
+        for name in COUNTED + HEARD:
+            setattr(made, name, getattr(book, name))
+    if book.local is not None:
+        made.local, made.sharers = book.local, book.sharers
+        made.local.become(plan.rate / book.sharers, plan.burst / book.sharers, now)
+    if made.ceiling is not None and book.ceiling is not None:
+        made.ceiling = book.ceiling
+        made.ceiling.become(plan.ceiling_rate / made.spread, plan.ceiling_burst / made.spread, now)
+    return made
+
+
+class Transitions:
+    """Plans as they were of late, for the books of customers first seen after a change."""
+
+    def __init__(self) -> None:
+        self.former: dict[str, deque[Former]] = {}
+        self.order: deque[tuple[float, str]] = deque()  # when which plan changed, oldest first
+
+    def changed(self, plan: Plan, now: float) -> None:
+        """This plan has ceased to be in force."""
+        self.former.setdefault(plan.name, deque()).append(Former(plan, now))
+        self.order.append((now, plan.name))
+        while self.order and now - self.order[0][0] > REMEMBERED_MS:
+            name = self.order.popleft()[1]
+            formers = self.former[name]
+            formers.popleft()
+            if not formers:
+                del self.former[name]
+
+    def open_book(self, plan: Plan, spread: int, now: float, first: int, began: float) -> Book:
+        """The book of a customer that this gateway has none of; takes the place of `Book` in the
+        decisions."""
+        formers = [one for one in self.former.get(plan.name, ()) if now - one.until <= REMEMBERED_MS]
+        if not formers:
+            return Book(plan, spread, now, first, began)
+        oldest = formers[0]
+        book = Book(oldest.plan, spread, oldest.until, first, began)
+        followers = [one.plan for one in formers[1:]] + [plan]
+        for former, then in zip(formers, followers, strict=True):
+            book = self.followed(book, then, former.until)
+        book.touched_at = now
+        return book
+
+    @staticmethod
+    def followed(book: Book, plan: Plan, at: float) -> Book:
+        """Guards against a fresh burst under the new names, of which this gateway can't know what was used
+        under the old ones. Hurts a customer first seen here within the filling of the burst after such a
+        change: it has its rate, and no burst yet."""
+        made = carried(book, plan, at)
+        if made.window_ms != book.window_ms:
+            made.spell = max(made.spell, book.plan.burst)
+        return made
--- a/granitedock/lab/scale/command.py
+++ b/granitedock/lab/scale/command.py
@@ -63,11 +63,7 @@
             "hosts": self.each("hosts", hosts.measure, [(count,) for count in sizes.hosts]),
             "plans": self.each("plans", plans.measure, [(count,) for count in sizes.plans]),
             "view": self.each("view", view.measure, [(n, sizes.view_seconds) for n in sizes.gateways]),
-            "calls": self.each(
-                "calls",
-                calls.measure,
-                [(count, sizes.counter_seconds) for count in sizes.counter_connections],
-            ),
+            "calls": self.each("calls", calls.measure, call_cases),
             "requests": self.each("requests", requests.measure, request_cases),
             "fleets": self.each(
                 "hollow gateways",
--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -172,7 +172,7 @@
         self.sharers = self.spread  # of the emergency bucket
         longest = LONGEST_NAME_MS / NAMES_LAST
         fills_in = plan.burst / plan.rate if plan.rate > 0 else longest
-        self.window_ms = min(longest, max(1000.0, WINDOW_OF_BURST * fills_in))
+        self.window_ms = plan.window_ms or min(longest, max(1000.0, WINDOW_OF_BURST * fills_in))
         self.allowance = plan.rate * self.window_ms + plan.burst
         self.window, self.current, self.previous = -1, 0.0, 0.0
         self.quota = Quota(plan, first, self.spread, self.window_ms)
@@ -490,7 +490,7 @@
         self.lefts, self.usual = {}, {}  # how often each time left was seen, and the most usual, by product
         self.fleet = Fleet(now, seat, goods, cold, door.log)
         self.breaker = Breaker(self.fleet.quoted_ms, door.log)
-        self.roster = self.fleet.roster
+        self.roster, self.open_book = self.fleet.roster, Book  # another where plans change in service
         self.books: dict[Customer, None] = {}  # the longest not looked at first
 
     def at(self, now: float) -> None:
@@ -657,7 +657,7 @@
         """The customer's book. Guards against floods of customers seen once: old ones are dropped."""
         customer = task.customer
         if customer.book is None:
-            customer.book = Book(task.plan, task.spread, self.now, task.first, self.began)
+            customer.book = self.open_book(task.plan, task.spread, self.now, task.first, self.began)
         self.books.pop(customer, None)
         self.books[customer] = None
         customer.book.touched_at = self.now
--- a/granitedock/policy/interface.py
+++ b/granitedock/policy/interface.py
@@ -76,6 +76,7 @@
     ceiling_rate: float
     ceiling_burst: float
     ceiling_slack: float
+    window_ms: float = 0.0  # of its counts, where it was kept over a change of the plan; 0: by burst and rate
 
 
 @dataclass(frozen=True, slots=True)
--- a/granitedock/service/serve.py
+++ b/granitedock/service/serve.py
@@ -149,7 +149,7 @@
         self.reactor, self.wake = reactor, wakes.add
         self.counter_at, self.discovery_at = counter, discovery
         self.port: Any = None
-        self.leaving: Any = None  # told before the process ends
+        self.leaving: list[Any] = []  # called before the process ends
 
         def party(make, down, within_ms=limits.connect_ms):
             return Dialler(reactor, tell, make, down, within_ms)
@@ -184,8 +184,8 @@
 
     def leave(self) -> None:
         """Every client has gone by now, or the time that we are given is over."""
-        if self.leaving is not None:
-            self.leaving()
+        for part in self.leaving:
+            part()
         self.reactor.callLater(0.0, self.reactor.stop)
 
 
@@ -208,10 +208,16 @@
     """One gateway process."""
 
     def __init__(
-        self, path: str, reactor: SteadyReactor, fleet: Any = None, operators: str | None = None
+        self,
+        path: str,
+        reactor: SteadyReactor,
+        fleet: Any = None,
+        operators: str | None = None,
+        configuration: Any = None,
     ) -> None:
         """`fleet` is the operators' file of the fleet view (fleet.settings.FleetFile), or None; `operators`
-        the path of their own settings (service.operators), or None."""
+        the path of their own settings (service.operators), or None; `configuration` their file of the
+        configuration service (configuration.settings.GatewayFile), or None."""
         self.path, self.operators_at = path, operators
         told = load(path)
         limits = Limits.told(told)
@@ -231,6 +237,7 @@
         self.busy = False
         self.listen = told["listen"]
         self.fleet = self.fleet_view(told["name"], fleet, born)
+        self.configuration = self.followed(told["name"], configuration)
 
     def fleet_view(self, name: str, told: Any, born: dict[str, Any]) -> Any:
         """The view of the other gateways, where the operators turned it on and the settings let gateways talk
@@ -244,7 +251,7 @@
             self.log.event("fleet off", why="the settings do not let gateways talk to each other")
             return None
         link = FleetLink(told, name, born, int(BEGAN_MS), self.reactor, self.log)
-        self.doors.leaving = link.leave
+        self.doors.leaving.append(link.leave)
         self.reducer.shown[b"FLEET"] = link.shown
         self.reducer.gateway.peers = link
         if told.shared.enabled:
@@ -255,6 +262,18 @@
             self.reducer.shown[b"HOSTS"] = link.shown_hosts
         return link
 
+    def followed(self, name: str, file: Any) -> Any:
+        """Plans and classes from control processes, where the operators turned it on; else None, and nothing
+        of it is so much as imported."""
+        if file is None or not file.enabled:
+            return None
+        from granitedock.configuration.attach import ConfigurationLink
+
+        link = ConfigurationLink(file, name, self.reducer, self.reactor, self.clock, self.log)
+        self.reducer.shown[b"CONFIG"] = link.shown
+        self.doors.leaving.append(link.stop)
+        return link
+
     def tell(self, *happened: Any) -> None:
         """One input; what effects bring about at once waits its turn."""
         self.inbox.append(happened)
@@ -290,6 +309,8 @@
             int(port), door, self.limits.backlog, host.strip("[]"), self.reactor, self.limits.accepts
         )
         self.doors.port.startListening()
+        if self.configuration is not None:
+            self.configuration.start()
         if self.fleet is not None:
             self.fleet.start()
         self.log.event("listening", address=self.listen)
@@ -350,8 +371,8 @@
             acts[number]()
 
 
-def serve(path: str, fleet: Any = None, operators: str | None = None) -> int:
-    """Serve as the file says, until told to stop; `fleet` and `operators` as for `Service`."""
+def serve(path: str, fleet: Any = None, operators: str | None = None, configuration: Any = None) -> int:
+    """Serve as the file says, until told to stop; the operators' files as for `Service`."""
     # Guards against signals that come while we start: by default they would end the process over connections
     # that the machine has taken, and a new file would go unread.
     heard: list[int] = []
@@ -360,7 +381,7 @@
     reactor = SteadyReactor(Wakes(Clock()), BEGAN_MS)
     installReactor(reactor)
     try:
-        service = Service(path, reactor, fleet, operators)
+        service = Service(path, reactor, fleet, operators, configuration)
         service.start()
     except ToldError as fault:
         print(f"granitedock: cannot start: {fault}", file=sys.stderr)
