--- a/granitedock/configuration/follower.py
+++ b/granitedock/configuration/follower.py
@@ -226,8 +226,8 @@
             self.resend(connection, "digest")
 
     def changed(self, connection: Connection, message: VersionedChange) -> None:
-        """Guards against changes that come twice (left alone) and such that leave one out (a whole snapshot
-        is asked for, once a connection)."""
+        """Guards against changes that come twice (left alone) and such that leave one out, or begin at none
+        (a whole snapshot is asked for, once a connection)."""
         document = self.document
         if connection.snapshot is not None:
             raise Malformed("a change within a snapshot")
@@ -235,7 +235,7 @@
             self.counts["doubled"] += 1
             if message.version == document.version:
                 connection.behind_since = None
-        elif message.version > document.version + 1:
+        elif message.version > document.version + 1 or not document.version:
             self.counts["gaps"] += 1
             self.resend(connection, "gap")
         else:
--- a/granitedock/configuration/publisher.py
+++ b/granitedock/configuration/publisher.py
@@ -24,6 +24,7 @@
 
 MOST_SNAPSHOTS = 16  # on their way at once
 LOG_LINES = 4096  # versions of which the lines are kept
+MOST_LINE_ENTRIES = 250  # a change of more goes out as a snapshot, in pages, so that no line stalls a loop
 STALLED_MS = 5000.0  # a snapshot of which nothing could be written for so long gives up its place
 
 
@@ -67,12 +68,14 @@
     known_at: dict[int, float] = field(default_factory=dict)
 
     def add(self, change: VersionedChange, now: float) -> None:
-        self.lines[change.version] = encoded(change)
+        if len(change.edit) <= MOST_LINE_ENTRIES:
+            self.lines[change.version] = encoded(change)
         self.digests[change.version] = change.digest
         self.known_at[change.version] = now
-        if len(self.lines) > LOG_LINES:
-            oldest = next(iter(self.lines))
-            del self.lines[oldest], self.digests[oldest], self.known_at[oldest]
+        if len(self.digests) > LOG_LINES:
+            oldest = next(iter(self.digests))
+            self.lines.pop(oldest, None)
+            del self.digests[oldest], self.known_at[oldest]
 
     def clear(self) -> None:
         self.lines.clear()
@@ -129,11 +132,9 @@
         return follower
 
     def in_log(self, version: int, digest: int) -> bool:
-        """Whether a follower with this version can go on by changes."""
-        if version + 1 not in self.log.lines:
-            return False
-        known = self.log.digests.get(version)
-        return known == digest if known is not None else version == 0 and digest == 0
+        """Whether a follower with this version can go on by changes. One that has none yet needs the whole,
+        as it may have plans of the platform's file, which no change would remove."""
+        return version + 1 in self.log.lines and self.log.digests.get(version) == digest
 
     def begin_snapshot(self, follower: FollowerRecord) -> None:
         if follower.waits or follower.pages is not None:
@@ -167,7 +168,7 @@
             self.snapshot_done(follower)
         if follower.waits or follower.cursor >= self.version:
             return None
-        line = self.log.lines.get(follower.cursor + 1)
+        line = self.log.lines.get(follower.cursor + 1) if follower.cursor else None
         if line is None:
             self.begin_snapshot(follower)
             return self.unwritten(follower) if follower.pages is not None else None
--- a/granitedock/configuration/settings.py
+++ b/granitedock/configuration/settings.py
@@ -13,14 +13,22 @@
 from granitedock.tomlfile import FileError, Found, Strict, checked, read
 
 
-def address(text: str) -> str:
+def listen_address(text: str) -> str:
+    """HOST:PORT; port 0 is any free one."""
     host, _, port = text.rpartition(":")
-    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+    if not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
         raise ValueError(f"not an address, HOST:PORT: {text!r}")
     return text
 
 
+def address(text: str) -> str:
+    if listen_address(text).endswith(":0"):
+        raise ValueError(f"nobody can be reached at port 0: {text!r}")
+    return text
+
+
 Address = Annotated[str, AfterValidator(address)]
+ListenAddress = Annotated[str, AfterValidator(listen_address)]
 Cluster = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,31}$")]
 
 
@@ -39,7 +47,7 @@
 
     cluster: Cluster = "granitedock"
     name: Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
-    listen: Address
+    listen: ListenAddress
     store: str
     follow: Annotated[list[Address], Field(max_length=16)] = []
 
--- a/granitedock/lab/hollow.py
+++ b/granitedock/lab/hollow.py
@@ -47,10 +47,12 @@
 
 @dataclass(slots=True)
 class GatewayState:
-    """One hollow gateway: the version of its list and of its configuration, when it had each version (steady
-    seconds, the same clock in all processes of a machine), members held live, bytes and counters."""
+    """One hollow gateway: the version of its list and of its configuration, when it started and had each
+    version (steady seconds, the same clock in all processes of a machine), members held live, bytes and
+    counters."""
 
     name: str
+    started_at: float = 0.0
     list_version: int = 0
     list_at: dict[str, float] = field(default_factory=dict)
     version: int = 0
@@ -133,6 +135,7 @@
         )
         self.state = GatewayState(self.name)
         self.fleet: Any = None
+        self.configuration: Any = None
 
     @staticmethod
     def clock() -> float:
@@ -155,10 +158,38 @@
             del when[next(iter(when))]
 
     def start(self) -> None:
+        self.state.started_at = time.monotonic()
         self.tell("start")
         if self.order.fleet_seed:
             self.fleet = self.view()
             self.fleet.start()
+        if self.order.control:
+            self.configuration = self.followed()
+            self.configuration.start()
+
+    def followed(self) -> Any:
+        """This gateway's part in the configuration service, with the moments at which it had each version."""
+        from granitedock.configuration.attach import ConfigurationLink
+        from granitedock.configuration.settings import GatewayFile
+
+        noted, versions = self.noted, self.state.version_at
+
+        class NotedLink(ConfigurationLink):
+            def change(self, change: Any, prepared: Any) -> None:
+                began = time.perf_counter()
+                super().change(change, prepared)
+                self.diary.counts["apply_us"] += round((time.perf_counter() - began) * 1e6)
+                noted(versions, change.version)
+
+            def replace(self, before: Any, fresh: Any) -> None:
+                began = time.perf_counter()
+                super().replace(before, fresh)
+                self.diary.counts["replace_us"] = round((time.perf_counter() - began) * 1e6)
+                noted(versions, fresh.version)
+
+        order = self.order
+        file = GatewayFile(enabled=True, cluster=order.cluster, control=order.control)
+        return NotedLink(file, self.name, self.reducer, self.reactor, self.clock, self.diary)
 
     def view(self) -> Any:
         """This gateway's part in the view, at an address of loopback of its own."""
@@ -176,6 +207,10 @@
         self.state.counts = dict(self.diary.counts)
         if self.fleet is not None:
             self.state.live = len(self.fleet.names)
+        if self.configuration is not None:
+            document = self.configuration.document
+            self.state.version, self.state.digest = document.version, f"{document.digest:032x}"
+            self.state.counts |= self.configuration.follower.counts
         return self.state
 
 
--- a/granitedock/policy/decisions.py
+++ b/granitedock/policy/decisions.py
@@ -376,7 +376,7 @@
         """Guards against hosts that take tasks and answer none, and machines that vanish unheard."""
         outs, answered_at = host.health.outs, host.health.answered_at
         since = max(answered_at, next(iter(outs)).sent_at) if outs else self.now
-        return self.now - since > SILENT_AFTER * self.mean_answer()
+        return since < self.now and self.now - since > SILENT_AFTER * self.mean_answer()
 
     def fit(self, host: Host, task: Task) -> bool:
         """Whether the verdicts speak for it; where most hosts look bad, the cause is shared."""
