Configuration over loopback: stories with real control processes, and who a replica follows in its status

Each hard case over real sockets: a change between requests and one in hand, control lost, a start without control by the copy, torn copies, what is no control process, regions cut and healed, followers of a killed process, the commands.

--- a/granitedock/configuration/attach.py
+++ b/granitedock/configuration/attach.py
@@ -33,9 +33,12 @@
         self.carrier = FollowerLink(reactor, "gateway", diary.counts)
         chance = Random(f"{name}:{clock()}")
         self.follower = Follower(
-            name, file.cluster, list(file.control), self.document, self.carrier, chance, diary.event, Pace()
+            name, file.cluster, list(file.control), self.document, self.carrier, chance, self.log, Pace()
         )
 
+    def log(self, event: str, **figures: Any) -> None:
+        self.diary.event(event, **figures)
+
     def start(self) -> None:
         """Go on by the copy, where there is one, then follow."""
         if self.file.copy_file is not None:
@@ -100,7 +103,7 @@
 
     def shown(self) -> bytes:
         """What is in force here and from whom, as JSON."""
-        connection, document = self.follower.connection, self.document
+        document = self.document
         return orjson.dumps(
             {
                 "cluster": self.file.cluster,
@@ -108,9 +111,6 @@
                 "digest": digest_text(document.digest),
                 "plans": len(self.applied.reducer.plans),
                 "classes": len(self.applied.reducer.products),
-                "control": connection.address,
-                "state": connection.state,
-                "addresses": self.follower.addresses,
-                "counts": dict(self.follower.counts),
             }
+            | self.follower.status()
         )
--- a/granitedock/configuration/control.py
+++ b/granitedock/configuration/control.py
@@ -24,6 +24,7 @@
     pages,
 )
 from granitedock.configuration.followed import FollowedDocument
+from granitedock.configuration.follower import Follower
 from granitedock.configuration.messages import (
     PAGE_ENTRIES,
     Page,
@@ -53,6 +54,7 @@
     ) -> None:
         self.store, self.writes, self.clock, self.wake = store, writes, clock, wake
         self.document: FollowedDocument[bytes] = FollowedDocument(self)
+        self.follower: Follower | None = None  # of a replica
         store.load(self.contents)
         self.publisher = Publisher(store.cluster, self.snapshot)
         self.publisher.begin(self.contents.version, self.contents.digest, store.changes(), clock())
@@ -160,6 +162,7 @@
             "plans": len(contents.values[Section.PLANS]),
             "classes": len(contents.values[Section.CLASSES]),
             "followers": followers,
+            "following": None if self.follower is None else self.follower.status(),
             "counts": dict(self.publisher.counts),
         }
 
--- a/granitedock/configuration/follower.py
+++ b/granitedock/configuration/follower.py
@@ -139,6 +139,16 @@
         self.counts: Counter[str] = Counter()
         self.on = False
 
+    def status(self) -> dict[str, Any]:
+        """Whom it follows and what it counted, as JSON can hold it."""
+        connection = self.connection
+        return {
+            "control": connection.address,
+            "state": connection.state,
+            "addresses": self.addresses,
+            "counts": dict(self.counts),
+        }
+
     # Inputs. `now` is in ms of any clock that never steps back.
 
     def start(self, now: float) -> None:
--- a/granitedock/configuration/process.py
+++ b/granitedock/configuration/process.py
@@ -51,6 +51,7 @@
                 SystemRandom(),
                 self.log.event,
             )
+            self.control.follower = follower
             self.link.start(follower)
         contents = self.control.contents
         self.log.event(
--- /dev/null
+++ b/tests/test_configuration_live.py
@@ -0,0 +1,265 @@
+"""Configuration over loopback: real control processes, and gateways that follow them over real sockets.
+
+Each story waits for what it caused, not for a time; the bound is only there to end a story that failed.
+"""
+
+import json
+import time
+from contextlib import contextmanager
+
+import pytest
+from click.testing import CliRunner
+from live import VALUE, Live, Server
+from twisted.internet import reactor
+
+from granitedock.__main__ import main
+from granitedock.configuration import client, follower, lines
+from granitedock.configuration.settings import GatewayFile
+from granitedock.lab.rig import on_loop
+from granitedock.lab.scale.configuration import CLUSTER, controls, started, wait_version
+from granitedock.lab.scale.fleet import commanded, hollow_fleet
+from granitedock.lab.wires import FINE, Fate, TcpWire, Weather
+
+WITHIN_S = 20.0
+PLAN = {"Name": "p", "Refill": 1000, "MostAtOnce": 1000}
+
+
+@contextmanager
+def gateway(tmp_path, addresses, **more):
+    file = GatewayFile(enabled=True, cluster=CLUSTER, control=list(addresses), **more)
+    live = Live(tmp_path, configuration=file)
+    try:
+        yield live
+    finally:
+        live.service.configuration.carrier.follower.on = False
+        live.close()
+
+
+def until(live, true):
+    """Turns of the gateway's loop until it is true."""
+    ends = time.monotonic() + WITHIN_S
+    while not true():
+        assert time.monotonic() < ends, live.events[-5:]
+        live.turn(2)
+
+
+def has(live, version):
+    until(live, lambda: live.service.configuration.document.version >= version)
+
+
+def change(base, put=(), remove=()):
+    return json.dumps({"base": base, "plans": {"upsert": list(put), "remove": list(remove)}}).encode()
+
+
+def served(live, client_peer, name="read"):
+    """One request through the gateway and its host; what the client is answered."""
+    client_peer.send(live.request(name))
+    host = live.at_host()
+    host.wait()
+    host.read()
+    host.send(VALUE)
+    live.turn()
+    return client_peer.read()
+
+
+def test_a_change_is_in_force_between_requests_and_one_in_hand_keeps_its_plan(tmp_path):
+    with controls(3, 1) as (writer,), gateway(tmp_path, [writer.address]) as live:
+        has(live, 1)
+        assert "tenant-00001" in live.reducer.plans
+        first, second = live.client(), live.client()
+        live.counts = False  # the counter holds its answer back
+        first.send(live.request())
+        live.turn()
+        assert len(live.reducer.errands) == 1
+        client.apply(writer.address, change(1, remove=["p"]), 5.0)
+        has(live, 2)
+        live.counts = True
+        host = live.at_host()
+        host.wait()
+        host.read()
+        host.send(VALUE)
+        live.turn()
+        assert first.read() == VALUE
+        second.send(live.request())
+        live.turn()
+        assert second.read() == b"-ERR unknown product or plan\r\n"
+        assert client.apply(writer.address, change(2, [PLAN]), 5.0)["version"] == 3
+        has(live, 3)
+        assert served(live, live.client()) == VALUE
+
+
+def test_a_gateway_goes_on_and_starts_again_without_control_by_what_it_last_had(tmp_path):
+    copy = str(tmp_path / "g.copy")
+    with controls(3, 1) as (writer,):
+        with gateway(tmp_path, [writer.address], copy_file=copy) as live:
+            has(live, 1)
+            client.apply(writer.address, change(1, [PLAN | {"Name": "new"}]), 5.0)
+            has(live, 2)
+            writer.process.kill()
+            until(live, lambda: live.service.configuration.follower.counts["dials"] >= 3)
+            assert "new" in live.reducer.plans
+            assert served(live, live.client()) == VALUE
+            live.service.configuration.stop()
+        with gateway(tmp_path, [writer.address], copy_file=copy) as live:
+            assert live.service.configuration.document.version == 2
+            assert "new" in live.reducer.plans
+            assert served(live, live.client()) == VALUE
+
+
+def test_a_copy_that_is_torn_is_named_and_the_gateway_starts_without_it(tmp_path):
+    copy = tmp_path / "g.copy"
+    copy.write_bytes(b"no store at all" * 100)
+    with controls(2, 1) as (writer,), gateway(tmp_path, [writer.address], copy_file=str(copy)) as live:
+        refused = [figures for event, figures in live.events if event == "configuration copy refused"]
+        assert refused and str(copy) in refused[0]["why"]
+        has(live, 1)
+
+
+PAGE = b"<html><body>Please sign in</body></html>\n"
+HTML = b"HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nContent-Length: %d\r\n\r\n%b" % (len(PAGE), PAGE)
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS = CHUNKED + 40 * (b"10000\r\n" + b"x" * 65536 + b"\r\n")
+REFUSED = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("answer", "why"),
+    [
+        (HTML, "not JSON"),
+        (ENDLESS, "a line of more than"),
+        (REFUSED, "status 503"),
+        (b"-ERR no\r\n\r\n", ""),
+    ],
+    ids=["html", "a line without end", "status", "no http"],
+)
+def test_what_is_no_control_process_is_refused_and_the_next_address_followed(
+    tmp_path, monkeypatch, answer, why
+):
+    monkeypatch.setattr(follower, "own_order", lambda name, addresses: addresses)
+    monkeypatch.setattr(lines, "MOST_LINE_BYTES", 1 << 20)
+    monkeypatch.setattr(lines.LineBuffer.__init__, "__defaults__", (1 << 20,))
+    strange = Server()
+    with controls(2, 1) as (writer,), gateway(tmp_path, [strange.address, writer.address]) as live:
+        peers = []
+
+        def answered():
+            if (peer := strange.take()) is not None:
+                peers.append(peer)
+                peer.sock.setblocking(True)
+                peer.sock.settimeout(5.0)
+            if peers and not answered.done:
+                answered.done = True
+                for at in range(0, len(answer), 65536):
+                    try:
+                        peers[0].send(answer[at : at + 65536])
+                    except OSError:
+                        break  # it was refused meanwhile
+                    live.turn(1)
+            return live.service.configuration.document.version >= 1
+
+        answered.done = False
+        until(live, answered)
+        said = [figures["why"] for event, figures in live.events if event == "configuration refused"]
+        assert len(said) == 1 and why in said[0], said
+        assert live.service.configuration.follower.counts["refused"] == 1
+    strange.sock.close()
+
+
+def test_changes_made_while_the_regions_are_cut_are_in_force_everywhere_within_10_s_of_the_heal(tmp_path):
+    """The writer stands in the other region, a replica in the gateway's own; the wire between them is cut for
+    as long as the story likes: all that grows with the time is the back-off, which is at its longest."""
+    weather = Weather(1)
+    ways = [("replica", "writer"), ("writer", "replica")]
+    with controls(3, 1) as (writer,):
+        wire = on_loop(TcpWire, reactor, weather, "replica", "writer", "127.0.0.1:0", writer.address)
+        replica = started(tmp_path, "replica", [wire.address], None)
+        try:
+            wait_version([replica], 1)
+            with gateway(tmp_path, [replica.address]) as live:
+                has(live, 1)
+                on_loop(weather.set, Fate(cut=True), ways)
+                for base in (1, 2, 3):
+                    plan = PLAN | {"Refill": 1000 + base}
+                    client.apply(writer.address, change(base, [plan]), 5.0)
+                # Cut off: the replica has given its connection up and dials again and again, in vain.
+                until(live, lambda: replica.status()["following"]["counts"]["dials"] >= 4)
+                assert live.service.configuration.document.version == 1
+                fresh = started(tmp_path, "late", [replica.address], None)
+                try:
+                    wait_version([fresh], 1)  # served from the replica's own store
+                finally:
+                    fresh.process.kill()
+                    fresh.process.wait()
+                assert served(live, live.client()) == VALUE
+                healed = time.monotonic()
+                on_loop(weather.set, FINE, ways)
+                has(live, 4)
+                assert time.monotonic() - healed < 10.0
+                assert live.reducer.plans["p"].rate == pytest.approx(1.003)
+        finally:
+            replica.process.kill()
+            replica.process.wait()
+            replica.process.stdout.close()
+            on_loop(wire.end)
+
+
+def test_followers_of_a_control_process_that_is_killed_go_on_with_the_rest(tmp_path):
+    with (
+        commanded("granitedock.lab.scale.roster", "10") as roster,
+        controls(20, 3) as running,
+        hollow_fleet(12, roster.said, False, tuple(one.address for one in running), CLUSTER) as fleet,
+    ):
+        fleet.wait(lambda state: state.version == 1)
+        writer, lost, kept = running
+        had = {one["name"] for one in lost.status()["followers"]}
+        assert had  # by the gateways' own orders, which hang on the addresses: some follow each with any luck
+        lost.process.kill()
+        client.apply(writer.address, change(1, [PLAN]), 5.0)
+        fleet.wait(lambda state: state.version == 2)
+        now = {one["name"] for other in (writer, kept) for one in other.status()["followers"]}
+        assert had <= now
+        digests = {state.digest for state in fleet.gateways()}
+        assert digests == {writer.status()["digest"]}
+
+
+def run(*words):
+    return CliRunner().invoke(main, list(words))
+
+
+def test_the_commands_check_apply_show_and_tell_who_lags(tmp_path):
+    file = tmp_path / "change.json"
+    file.write_bytes(change(1, [PLAN | {"Name": "gold"}]))
+    with controls(3, 2) as (writer, replica):
+        assert "1 entries on version 1" in run("config", "check", str(file)).output
+        refused = run("config", "apply", str(file), "--to", replica.address)
+        assert refused.exit_code == 1 and "is a replica" in refused.output
+        assert run("config", "apply", str(file), "--to", writer.address).output.startswith(
+            "version 2, digest "
+        )
+        again = run("config", "apply", str(file), "--to", writer.address)
+        assert again.exit_code == 1 and "the present version is 2, not 1" in again.output
+        wait_version([replica], 2)
+        shown = json.loads(run("config", "show", replica.address, "--plan", "gold").output)
+        assert shown == PLAN | {"Name": "gold", "WindowMs": 2000.0}
+        assert "no plan 'silver'" in run("config", "show", replica.address, "--plan", "silver").output
+        status = run("config", "status", writer.address, replica.address)
+        assert status.exit_code == 0 and "0 gateways: none" in status.output
+        gone = run("config", "status", writer.address, "127.0.0.1:1")
+        assert gone.exit_code == 1 and "127.0.0.1:1: no answer" in gone.output
+        file.write_bytes(b'{"base": 2, "plans": {"upsert": [{"Name": "x", "Refill": -1}]}}')
+        wrong = run("config", "check", str(file))
+        assert wrong.exit_code == 1 and f"{file}: plans.upsert[0].Refill: a number from 0" in wrong.output
+
+
+def test_a_control_process_with_a_wrong_file_or_store_starts_nothing(tmp_path):
+    file = tmp_path / "control.toml"
+    file.write_text('name = "c"\nlisten = "127.0.0.1"\nstore = "x.db"\n')
+    said = run("control", "--config", str(file))
+    assert said.exit_code == 1 and f"{file}:2: listen: Value error, not an address" in said.output
+    file.write_text('name = "c"\nlisten = "127.0.0.1:1"\nstore = "x.db"\nfollow = ["127.0.0.1:1"]\n')
+    assert "follow: this process's own address" in run("control", "--config", str(file)).output
+    store = tmp_path / "c.db"
+    store.write_bytes(b"no store" * 1000)
+    file.write_text(f'name = "c"\nlisten = "127.0.0.1:0"\nstore = "{store}"\n')
+    said = run("control", "--config", str(file))
+    assert said.exit_code == 1 and f"{store}: cannot be used as a store" in said.output
