--- a/granitedock/lab/scale/requests.py
+++ b/granitedock/lab/scale/requests.py
@@ -18,7 +18,7 @@
 
 import orjson
 
-from granitedock.__main__ import asked
+from granitedock.commands.asking import asked
 from granitedock.lab.load import Load, Row
 from granitedock.lab.scale.platform import settings
 from granitedock.lab.scale.probe import ScaleError, memory_mb, process_cpu_s, quantile
--- a/tests/live.py
+++ b/tests/live.py
@@ -209,6 +209,12 @@
                 return peer
         return None
 
+    def answered(self, host, client):
+        """The host answers what it has, and the client gets that answer and nothing else."""
+        host.send(VALUE)
+        self.turn()
+        assert client.read() == VALUE
+
     def hold_dials(self):
         """From now on connections to hosts come up only when the story lets them (`release`): as late as
         connections on poor ways do."""
--- a/tests/test_configuration_live.py
+++ b/tests/test_configuration_live.py
@@ -77,9 +77,7 @@
         host = live.at_host()
         host.wait()
         host.read()
-        host.send(VALUE)
-        live.turn()
-        assert first.read() == VALUE
+        live.answered(host, first)
         second.send(live.request())
         live.turn()
         assert second.read() == b"-ERR unknown product or plan\r\n"
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -94,9 +94,7 @@
     client.send(gate.request())
     host = gate.at_host()
     host.read()
-    host.send(VALUE)
-    gate.turn()
-    assert client.read() == VALUE
+    gate.answered(host, client)
     gate.service.stop_soon()
     gate.pass_ms(gate.limits.open_ms - 30)
     client.send(gate.request())  # lies unread when the timer of the shut door rings
@@ -157,9 +155,7 @@
     other.send(gate.request("once"))
     host = gate.at_host()
     assert host.read()
-    host.send(VALUE)
-    gate.turn()
-    assert other.read() == VALUE
+    gate.answered(host, other)
 
 
 def test_the_port_closes_in_the_same_turn_as_the_last_connection_is_taken_in(live):
@@ -349,9 +345,7 @@
         again = gate.at_host(1 - first)
         assert bool(again.read()) == repeats
         if repeats:
-            again.send(VALUE)
-            gate.turn()
-            assert client.read() == VALUE
+            gate.answered(again, client)
         else:
             assert client.read() in (ERR, b"-BUSY\r\n")
 
@@ -362,9 +356,7 @@
     client.send(gate.request())
     kept = gate.at_host()
     kept.read()
-    kept.send(VALUE)
-    gate.turn()
-    assert client.read() == VALUE
+    gate.answered(kept, client)
     gate.t += 50
     gate.counts = False
     client.send(gate.request("once"))
@@ -376,9 +368,7 @@
     gate.turn()
     anew = gate.at_host()
     assert anew.read()
-    anew.send(VALUE)
-    gate.turn()
-    assert client.read() == VALUE
+    gate.answered(anew, client)
 
 
 # Long and slow, and without end.
@@ -502,9 +492,7 @@
     assert gate.reducer.counts["watch_spoilt"] == 1
     assert [figures["why"] for event, figures in gate.events if event == "watch spoilt"]
     host = out_at_host(gate, client)  # the list as last had stands
-    host.send(VALUE)
-    gate.turn()
-    assert client.read() == VALUE
+    gate.answered(host, client)
     gate.pass_ms(200)
     assert gate.watch() is gate.watches[-1] and len(gate.watches) == 3  # and it is asked again
 
@@ -545,9 +533,7 @@
     gate.turn()
     assert client.read().startswith(VALUE + b"-ERR not a RESP2 value\r\n") and client.ended == "closed"
     host = out_at_host(gate, other)
-    host.send(VALUE)
-    gate.turn()
-    assert other.read() == VALUE
+    gate.answered(host, other)
 
 
 def test_idle_clients_that_fill_the_descriptors_leave_discovery_counter_and_hosts_theirs(live):
@@ -556,9 +542,7 @@
     gate.turn()
     worker = gate.client()
     host = out_at_host(gate, worker)
-    host.send(VALUE)
-    gate.turn()
-    assert worker.read() == VALUE
+    gate.answered(host, worker)
     host.close()
     idle = []
     for _ in range(100):
@@ -574,9 +558,7 @@
     gate.pass_ms(100)
     host = gate.at_host()
     assert gate.counter_peers and host.read()
-    host.send(VALUE)
-    gate.turn()
-    assert worker.read() == VALUE
+    gate.answered(host, worker)
     version = gate.version
     gate.pass_ms(2500)
     gate.next_watch()
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -45,9 +45,7 @@
     left = int(TIME_LEFT.search(again.read())[1])
     assert left <= 3000 - waited_ms
     assert left > 3000 - waited_ms - 150
-    again.send(VALUE)
-    gate.turn()
-    assert client.read() == VALUE
+    gate.answered(again, client)
 
 
 def test_a_whole_list_drops_what_it_does_not_name_also_where_that_still_answers(live):
@@ -63,9 +61,7 @@
         host, number = first_host(gate)
         assert number == 1
         host.read()
-        host.send(VALUE)
-        gate.turn()
-        assert client.read() == VALUE
+        gate.answered(host, client)
         host.close()
         gate.turn()
     assert gate.at_host(0) is None
