Tests side by side: nets claimed by rigs, addresses of each process's own; configuration's counters by name

Change: pytest-xdist, nets held by a socket, listed red tests read by the controlling process too; malformed lines named; counters of the watch carry the service's name; an import is left alone where there is a version.

--- a/granitedock/configuration/attach.py
+++ b/granitedock/configuration/attach.py
@@ -33,9 +33,20 @@
         self.carrier = FollowerLink(reactor, "gateway", diary.counts)
         chance = Random(f"{name}:{clock()}")
         self.follower = Follower(
-            name, file.cluster, list(file.control), self.document, self.carrier, chance, self.log, Pace()
+            name,
+            file.cluster,
+            list(file.control),
+            self.document,
+            self.carrier,
+            chance,
+            self.log,
+            Pace(),
+            self.counted,
         )
 
+    def counted(self, name: str) -> None:
+        self.diary.counts["configuration_" + name] += 1
+
     def log(self, event: str, **figures: Any) -> None:
         self.diary.event(event, **figures)
 
--- a/granitedock/configuration/follower.py
+++ b/granitedock/configuration/follower.py
@@ -115,7 +115,7 @@
 
 
 class Follower:
-    """One follower. `log(event, **figures)` tells what an operator should see."""
+    """One follower. `log(event, **figures)` tells what an operator should see, `counted(name)` counts it."""
 
     def __init__(
         self,
@@ -127,6 +127,7 @@
         chance: Random,
         log: Callable[..., None],
         pace: Pace | None = None,
+        counted: Callable[[str], None] = lambda name: None,
     ) -> None:
         self.name, self.cluster, self.document = name, cluster, document
         self.addresses = own_order(name, addresses)
@@ -137,8 +138,13 @@
         self.connection = Connection(self.addresses[0])
         self.return_at = float("inf")
         self.counts: Counter[str] = Counter()
+        self.counted = counted
         self.on = False
 
+    def count(self, name: str) -> None:
+        self.counts[name] += 1
+        self.counted(name)
+
     def status(self) -> dict[str, Any]:
         """Whom it follows and what it counted, as JSON can hold it."""
         connection = self.connection
@@ -172,7 +178,7 @@
     def refused(self, connection: Connection, why: str, now: float) -> None:
         """What came is no watch on the configuration: another status, another cluster, no message."""
         self.now = now
-        self.counts["refused"] += 1
+        self.count("refused")
         self.log("configuration refused", control=connection.address, why=why[:200])
         self.advance(connection, "refused")
 
@@ -198,10 +204,10 @@
         connection, pace = self.connection, self.pace
         patience = {"asked": pace.first_line_ms, "following": pace.silence_ms}.get(connection.state)
         if patience is not None and now - connection.heard_at > patience:
-            self.counts["silences"] += 1
+            self.count("silences")
             self.advance(connection, "silent")
         elif connection.behind_since is not None and now - connection.behind_since > pace.behind_ms:
-            self.counts["behind"] += 1
+            self.count("behind")
             self.log("control is behind", control=connection.address, version=self.document.version)
             self.advance(connection, "behind")
         elif now >= self.return_at and connection.snapshot is None:
@@ -242,24 +248,24 @@
         if connection.snapshot is not None:
             raise Malformed("a change within a snapshot")
         if message.version <= document.version:
-            self.counts["doubled"] += 1
+            self.count("doubled")
             if message.version == document.version:
                 connection.behind_since = None
         elif message.version > document.version + 1 or not document.version:
-            self.counts["gaps"] += 1
+            self.count("gaps")
             self.resend(connection, "gap")
         else:
             try:
                 document.change(message)
             except ConfigurationError as fault:
-                self.counts["differing"] += 1
+                self.count("differing")
                 self.resend(connection, str(fault))
                 return
             connection.behind_since = None
             self.in_force(connection)
 
     def in_force(self, connection: Connection) -> None:
-        self.counts["in_force"] += 1
+        self.count("in_force")
         self.carrier.send(connection, InForce(self.document.version, self.document.digest))
 
     def resend(self, connection: Connection, why: str) -> None:
@@ -269,7 +275,7 @@
                 raise Malformed(f"does not fit after a whole snapshot either: {why}")
             return
         connection.resent = True
-        self.counts["resends"] += 1
+        self.count("resends")
         self.log("configuration asked for whole", control=connection.address, why=why[:200])
         self.carrier.send(connection, Resend())
 
@@ -297,7 +303,7 @@
         if not connection.skipping:
             self.document.end(message.version, message.digest)
             connection.behind_since = None
-            self.counts["snapshots"] += 1
+            self.count("snapshots")
             self.log(
                 "configuration taken whole",
                 control=connection.address,
@@ -315,7 +321,7 @@
         advance(STATES, connection, signal, self)
 
     def dial(self, connection: Connection) -> None:
-        self.counts["dials"] += 1
+        self.count("dials")
         first = connection.address == self.addresses[0]
         wait = self.pace.return_ms * (1.0 + self.chance.random())
         self.return_at = float("inf") if first else self.now + wait
--- a/granitedock/configuration/gateway.py
+++ b/granitedock/configuration/gateway.py
@@ -16,6 +16,7 @@
 from granitedock.configuration.windows import window_of
 from granitedock.policy.interface import Plan, Product
 
+CLASS_FIELDS = attrgetter(*Product.__slots__)
 PLAN_FIELDS = attrgetter(*(name for name in Plan.__slots__ if name != "window_ms"))
 Entry = Plan | Product
 
@@ -66,7 +67,11 @@
             if name in held and held[name] is not plan and same_plan(held[name], plan):
                 plans[name] = held[name]
         self.put_plans(plans, [name for name in held if name not in plans])
-        self.put_classes(dict(fresh.values[Section.CLASSES]))
+        classes, known = fresh.values[Section.CLASSES], self.reducer.products
+        for name, product in classes.items():
+            if name in known and CLASS_FIELDS(known[name]) == CLASS_FIELDS(product):
+                classes[name] = known[name]  # what was measured of its requests stays known
+        self.put_classes(dict(classes))
 
     def put_plans(self, plans: dict[str, Plan], gone: list[str]) -> None:
         """The books of customers whose plans changed go on under the new ones. A customer of a removed plan
--- a/granitedock/configuration/link.py
+++ b/granitedock/configuration/link.py
@@ -56,7 +56,7 @@
     def dataReceived(self, data: bytes) -> None:
         if self.deaf:
             return
-        self.carrier.counts["bytes_in"] += len(data)
+        self.carrier.counts["configuration_bytes_in"] += len(data)
         try:
             self.http.receive_data(data)
             while not self.deaf and (event := self.http.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
@@ -81,7 +81,7 @@
 
     def send(self, message: Message) -> None:
         line = self.http.send(h11.Data(data=encoded(message)))
-        self.carrier.counts["bytes_out"] += len(line)
+        self.carrier.counts["configuration_bytes_out"] += len(line)
         self.transport.write(line)
 
     def abort(self) -> None:
--- a/granitedock/configuration/messages.py
+++ b/granitedock/configuration/messages.py
@@ -134,10 +134,13 @@
         part = told.get(section.value, {})
         if type(part) is not dict:
             raise Malformed(f"{section.value}: an object is wanted")
-        for record in part.get("upsert", ()):
+        records, names = part.get("upsert", []), part.get("remove", [])
+        if type(records) is not list or type(names) is not list:
+            raise Malformed(f"{section.value}: lists are wanted")
+        for record in records:
             if type(record) is not dict or type(record.get("Name")) is not str:
                 raise Malformed(f"{section.value}.upsert: objects with a Name are wanted")
-        if not all(type(name) is str for name in part.get("remove", ())):
+        if not all(type(name) is str for name in names):
             raise Malformed(f"{section.value}.remove: names are wanted")
     return edit_of(told)
 
@@ -148,7 +151,8 @@
         told = orjson.loads(line)
     except orjson.JSONDecodeError as fault:
         raise Malformed(f"not JSON: {fault}") from None
-    kind = KINDS.get(told.get("type")) if type(told) is dict else None
+    name = told.get("type") if type(told) is dict else None
+    kind = KINDS.get(name) if type(name) is str else None
     if kind is None:
         raise Malformed(f"no message: {line[:60]!r}")
     if kind is Resend:
--- a/granitedock/configuration/process.py
+++ b/granitedock/configuration/process.py
@@ -63,6 +63,14 @@
         )
         return address
 
+    def imported(self, settings: dict[str, Any], source: str) -> None:
+        """A platform's file becomes version 1 of an empty store, and is left alone where there is a version,
+        so that a restart by the same command goes on by the store. Raises ConfigurationError."""
+        if self.control.contents.version:
+            self.log.event("import left alone", file=source, version=self.control.contents.version)
+        else:
+            self.control.import_settings(settings, source)
+
     def end(self) -> Any:
         """A Deferred of the listener's end."""
         if self.link is not None:
@@ -77,7 +85,7 @@
     ConfigurationError."""
     process = ControlProcess(file)
     if settings is not None:
-        process.control.import_settings(settings, source)
+        process.imported(settings, source)
     try:
         address = process.start()
     except (CannotListenError, OSError) as fault:
--- a/granitedock/lab/hollow.py
+++ b/granitedock/lab/hollow.py
@@ -35,13 +35,13 @@
 @dataclass(frozen=True, slots=True)
 class HollowOrder:
     """What one process of hollow gateways is to run: gateways `first` to `first + count - 1` of `gateways`.
-    `discovery` is an address; without `fleet_seed` there is no view; `control` are control addresses."""
+    `discovery` is an address; without `fleet_net` there is no view; `control` are control addresses."""
 
     first: int
     count: int
     gateways: int
     discovery: str
-    fleet_seed: str = ""
+    fleet_net: int = 0
     control: list[str] = field(default_factory=list)
     cluster: str = "lab"
 
@@ -161,7 +161,7 @@
     def start(self) -> None:
         self.state.started_at = time.monotonic()
         self.tell("start")
-        if self.order.fleet_seed:
+        if self.order.fleet_net:
             self.fleet = self.view()
             self.fleet.start()
         if self.order.control:
@@ -197,10 +197,9 @@
         from granitedock.fleet.carrier import FleetLink
         from granitedock.fleet.settings import FleetFile
 
-        listen = fleet_address(self.number)
-        file = FleetFile(
-            enabled=True, cluster=self.order.cluster, listen=listen, seeds=[self.order.fleet_seed]
-        )
+        order = self.order
+        listen, seed = fleet_address(order.fleet_net, self.number), fleet_address(order.fleet_net, 0)
+        file = FleetFile(enabled=True, cluster=order.cluster, listen=listen, seeds=[seed])
         born_ms = int(self.clock())
         return FleetLink(file, self.name, self.settings, born_ms, self.reactor, self.diary)
 
@@ -215,9 +214,9 @@
         return self.state
 
 
-def fleet_address(number: int) -> str:
-    """The view's address of gateway `number`, on loopback."""
-    return f"127.{77 + number // 62_500}.{number // 250 % 250 + 1}.{number % 250 + 1}:{FLEET_PORT}"
+def fleet_address(net: int, number: int) -> str:
+    """The view's address of gateway `number`, on the loopback net 127.`net`."""
+    return f"127.{net}.{number // 250 + 1}.{number % 250 + 1}:{FLEET_PORT}"
 
 
 class Hollow:
--- a/granitedock/lab/rig.py
+++ b/granitedock/lab/rig.py
@@ -6,8 +6,9 @@
 processes it started, by their ids, also when a test fails. The stand-ins run on one Twisted reactor in a
 thread of this process; everything public here may be called from any other thread.
 
-Addresses: each rig has a net of its own, 127.A.B.0, from its process's id, so that a gateway that comes back
-finds its port free: ports that the kernel lends to outgoing connections lie on 127.0.0.1 only.
+Addresses: each rig has a net of its own, 127.A.B.0, so that a gateway that comes back finds its port free:
+ports that the kernel lends to outgoing connections lie on 127.0.0.1 only. A net is claimed by a listening
+socket, so that rigs of several processes can run side by side.
 """
 
 from __future__ import annotations
@@ -37,6 +38,7 @@
 from granitedock.service.resp import command
 
 CLIENTS_PORT, FLEET_PORT = 6379, 7946
+NETS, NET_STEP, CLAIM_HOST = 60 * 256, 37, 250  # nets to choose from; apart for neighbouring process ids
 _thread: Thread | None = None
 
 
@@ -120,17 +122,26 @@
         return found
 
 
+def claimed_net() -> tuple[socket.socket, str]:
+    """A net 127.A.B. that no other rig of this machine has, and the socket that holds it. Raises RigError."""
+    for turn in range(NETS):
+        number = (os.getpid() * NET_STEP + turn) % NETS
+        net = f"127.{1 + number // 256}.{number % 256}."
+        try:
+            return socket.create_server((f"{net}{CLAIM_HOST}", CLIENTS_PORT)), net
+        except OSError:
+            continue  # another rig's
+    raise RigError("no loopback net is free for a rig")
+
+
 class Rig:
     """A scenario's world with its gateways. `view` are lines of the operators' fleet file beyond those that
     the rig fills in (addresses and seeds), used where the scenario turns the view on."""
 
-    rigs = 0
-
     def __init__(self, scenario: Scenario, directory: Path, view: dict[str, Any] | None = None) -> None:
         self.scenario, self.directory = scenario, Path(directory)
         self.count = scenario.fleet.gateways
-        Rig.rigs += 1
-        self.net = f"127.{1 + os.getpid() // 256 % 250}.{(os.getpid() + Rig.rigs) % 256}."
+        self.claim, self.net = claimed_net()
         self.weather = Weather(scenario.seed)
         self.wires = DatagramWires(reactor, self.weather)
         self.tcp: list[TcpWire] = []
@@ -160,6 +171,7 @@
         for gateway in self.gateways:
             gateway.end(signal.SIGKILL)
         on_loop(self.close)
+        self.claim.close()
 
     def own(self, n: int) -> str:
         return f"{self.net}{1 + n}"
--- a/granitedock/lab/scale/configuration.py
+++ b/granitedock/lab/scale/configuration.py
@@ -150,9 +150,9 @@
 
 
 def watch_bytes(fleet: HollowFleet) -> int:
-    return sum(
-        state.counts.get("bytes_in", 0) + state.counts.get("bytes_out", 0) for state in fleet.gateways()
-    )
+    """Bytes of the configuration watches of all gateways, both ways."""
+    counts = [state.counts for state in fleet.gateways()]
+    return sum(one.get(f"configuration_bytes_{way}", 0) for one in counts for way in ("in", "out"))
 
 
 def busiest(running: list[ControlRunning], before: list[float]) -> float:
--- a/granitedock/lab/scale/fleet.py
+++ b/granitedock/lab/scale/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import subprocess
 import sys
 import time
@@ -12,14 +13,20 @@
 
 import orjson
 
-from granitedock.lab.hollow import GatewayState, HollowOrder, HollowStatus, fleet_address
+from granitedock.lab.hollow import GatewayState, HollowOrder, HollowStatus
 from granitedock.lab.scale.probe import ScaleError, quantile
 
 PROCESSES = 10
+FIRST_NET, NETS = 200, 50
 REST_S, CHANGES, CHANGE_EVERY_S = 5.0, 8, 1.0
 WITHIN_S = 90.0
 
 
+def own_net() -> int:
+    """The second number of a loopback net for the views of this process's fleets (127.N)."""
+    return FIRST_NET + os.getpid() % NETS
+
+
 class Commanded:
     """A process that takes commands on standard input and answers each with one line of JSON."""
 
@@ -68,8 +75,7 @@
         first = 0
         for n, process in enumerate(self.processes):
             count = gateways // number + (n < gateways % number)
-            seed = fleet_address(0) if view else ""
-            order = HollowOrder(first, count, gateways, discovery, seed, control, cluster)
+            order = HollowOrder(first, count, gateways, discovery, view * own_net(), control, cluster)
             process.order(asdict(order))
             first += count
         for process in self.processes:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -24,10 +24,15 @@
     return rows
 
 
+def pytest_configure(config):
+    """Guards a run over several processes, whose own could not end it with a usage error."""
+    listed(config.rootpath / "KNOWN-RED.txt")
+
+
 @pytest.hookimpl(tryfirst=True)  # before any selection by words, which drops tests
 def pytest_collection_modifyitems(config, items):
     path = config.rootpath / "KNOWN-RED.txt"
-    rows = config.known_red = listed(path)
+    rows = listed(path)
     by_name = {item.nodeid: item for item in items}
     files = {item.nodeid.partition("::")[0] for item in items}
     single = any("::" in arg for arg in config.args)
@@ -40,5 +45,5 @@
 
 
 def pytest_terminal_summary(terminalreporter, config):
-    for name, cause, issue in getattr(config, "known_red", ()):
+    for name, cause, issue in listed(config.rootpath / "KNOWN-RED.txt"):
         terminalreporter.write_line(f"known red: {name}: {cause} (issue {issue})")
--- a/tests/live.py
+++ b/tests/live.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import os
 import select
 import socket
 from collections import deque
@@ -15,6 +16,8 @@
 from granitedock.service.resp import command
 from granitedock.service.serve import Clock, Service, SteadyReactor, Wakes
 
+# Of this process, so that no outgoing connection of another one, on 127.0.0.1, takes the port meanwhile.
+OWN_ADDRESS = f"127.{100 + os.getpid() // 250 % 100}.{os.getpid() % 250}.1"
 START_MS = 1_700_000_000_000.0
 WATCHED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -103,12 +106,12 @@
         self.counter, self.discovery = Server(), Server()
         self.counter_peers, self.watches, self.counts, self.held = [], [], True, deque()
         self.host_peers = []  # kept, as a socket that nobody holds closes
-        with socket.create_server(("127.0.0.1", 0)) as free:
+        with socket.create_server((OWN_ADDRESS, 0)) as free:
             self.listen = free.getsockname()
         born = BORN | {"Lanes": lanes or BORN["Lanes"]} | settings
         told = {
             "name": "g0",
-            "listen": f"127.0.0.1:{self.listen[1]}",
+            "listen": f"{OWN_ADDRESS}:{self.listen[1]}",
             "discovery": self.discovery.address,
             "counter": self.counter.address,
             "seed": "07",
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -395,6 +395,8 @@
         b'{"type":"page","number":0,"plans":{"upsert":[{"Refill":1}]}}',
         b'{"type":"resend"}',
         b"[]",
+        b'{"type":[]}',
+        b'{"type":"page","number":0,"plans":{"upsert":7}}',
     ],
 )
 def test_what_is_no_watch_on_this_clusters_configuration_ends_its_connection_only(writer, line):
@@ -581,3 +583,18 @@
 def test_a_change_is_typed():
     made = change(7, [PLAN], ["old"])
     assert isinstance(made, Change) and (made.base, len(made.edit)) == (7, 2)
+
+
+def test_a_start_by_the_same_command_leaves_the_import_alone_where_there_is_a_version(tmp_path):
+    from granitedock.configuration.process import ControlProcess
+    from granitedock.configuration.settings import ControlFile
+
+    file = ControlFile(name="c", listen="127.0.0.1:0", store=str(tmp_path / "c.db"), cluster="lab")
+    first = ControlProcess(file)
+    first.imported(platform_settings(2), "platform.json")
+    first.control.apply(change(1, [PLAN]), "test")
+    first.control.store.close()
+    again = ControlProcess(file)
+    again.imported(platform_settings(9), "platform.json")
+    assert again.control.contents.version == 2
+    assert "tenant-00008" not in again.control.contents.values[Section.PLANS]
