The test run side by side: fleets of real processes in four groups, four at once at most

A new story took a connection for due that had not come yet; it waits for it now. Change: xdist groups, longest first, waits for events in the new stories.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,16 @@
 import pytest
 
 MOST = 3
+# Stories with fleets of real processes measure shares over seconds of real time: of these, so many run at
+# once at most, in a run over several processes, each group one after another. They begin first, as they take
+# the longest.
+FLEETS = {
+    "test_shared.py": ("fleets-1", "fleets-2"),
+    "test_judgement.py": ("fleets-3",),
+    "test_fleet.py": ("fleets-4",),
+    "test_rules.py": ("fleets-4",),
+    "test_configuration_live.py": ("fleets-4",),
+}
 
 
 def listed(path):
@@ -31,6 +41,10 @@
 
 @pytest.hookimpl(tryfirst=True)  # before any selection by words, which drops tests
 def pytest_collection_modifyitems(config, items):
+    items.sort(key=lambda item: item.path.name not in FLEETS)
+    for number, item in enumerate(items):
+        if groups := FLEETS.get(item.path.name):
+            item.add_marker(pytest.mark.xdist_group(groups[number % len(groups)]))
     path = config.rootpath / "KNOWN-RED.txt"
     rows = listed(path)
     by_name = {item.nodeid: item for item in items}
--- a/tests/test_configuration_live.py
+++ b/tests/test_configuration_live.py
@@ -54,12 +54,25 @@
 def served(live, client_peer, name="read"):
     """One request through the gateway and its host; what the client is answered."""
     client_peer.send(live.request(name))
-    host = live.at_host()
-    host.wait()
-    host.read()
+    host = attempt(live)
     host.send(VALUE)
-    live.turn()
-    return client_peer.read()
+    return answer_of(live, client_peer)
+
+
+def attempt(live):
+    """The host's end of the attempt that is due, its request read."""
+    found = []
+    until(live, lambda: found or found.extend(filter(None, [live.at_host()])) or found)
+    found[0].wait()
+    assert b"API." in found[0].read()
+    return found[0]
+
+
+def answer_of(live, client_peer):
+    """What the client is answered, once something is."""
+    said = []
+    until(live, lambda: said.append(client_peer.read()) or said[-1])
+    return said[-1]
 
 
 def test_a_change_is_in_force_between_requests_and_one_in_hand_keeps_its_plan(tmp_path):
@@ -69,18 +82,14 @@
         first, second = live.client(), live.client()
         live.counts = False  # the counter holds its answer back
         first.send(live.request())
-        live.turn()
-        assert len(live.reducer.errands) == 1
+        until(live, lambda: live.reducer.errands)
         client.apply(writer.address, change(1, remove=["p"]), 5.0)
         has(live, 2)
         live.counts = True
-        host = live.at_host()
-        host.wait()
-        host.read()
-        live.answered(host, first)
+        attempt(live).send(VALUE)
+        assert answer_of(live, first) == VALUE
         second.send(live.request())
-        live.turn()
-        assert second.read() == b"-ERR unknown product or plan\r\n"
+        assert answer_of(live, second) == b"-ERR unknown product or plan\r\n"
         assert client.apply(writer.address, change(2, [PLAN]), 5.0)["version"] == 3
         has(live, 3)
         assert served(live, live.client()) == VALUE
