--- a/granitedock/lab/scale/fleet.py
+++ b/granitedock/lab/scale/fleet.py
@@ -198,6 +198,8 @@
         with hollow_fleet(gateways, roster.said, view) as fleet:
             fleet.wait(lambda state: state.list_version >= 1)
             first = [state.list_at["1"] - began for state in fleet.gateways()]
+            if view:
+                fleet.wait(lambda state: state.live >= gateways)
             time.sleep(REST_S)  # the start's work is over
             before = Usage.of(fleet.statuses())
             time.sleep(REST_S)
--- a/granitedock/lab/scale/platform.py
+++ b/granitedock/lab/scale/platform.py
@@ -6,19 +6,8 @@
 
 from granitedock.lab.scenario import parse
 from granitedock.lab.settings import born
+from granitedock.lab.sharesim import SCENARIO
 
-SCENARIO = """
-[fleet]
-gateways = 2
-[[fleet.zones]]
-name = "east"
-hosts = 1
-[[clients]]
-customer = 1
-product = "read"
-plan = "p"
-rate = 1
-"""
 ZONES = 5
 
 
--- a/granitedock/lab/scale/requests.py
+++ b/granitedock/lab/scale/requests.py
@@ -53,13 +53,20 @@
     memory_mb: float
 
 
-def scenario(hosts: int, rate: float, gateways: int, seconds: float) -> Scenario:
-    """So many hosts of a fixed time, and customers whose plan never refuses."""
-    lines = [f"length_s = {seconds}\n[fleet]\ngateways = {gateways}"]
-    lines.append('[[plans]]\nname = "p"\nrate = 1000000\nburst = 1000000')
+def zones(hosts: int) -> list[str]:
+    """So many hosts of a fixed time, in zones of a scenario's file."""
+    lines = []
     for zone, first in enumerate(range(0, hosts, ZONE_HOSTS)):
         lines.append(f'[[fleet.zones]]\nname = "z{zone}"\nhosts = {min(ZONE_HOSTS, hosts - first)}')
         lines.append(f'service = {{ kind = "fixed", mean_ms = {SERVICE_MS} }}')
+    return lines
+
+
+def scenario(hosts: int, rate: float, gateways: int, seconds: float) -> Scenario:
+    """A world of so many hosts, and customers whose plan never refuses."""
+    lines = [f"length_s = {seconds}\n[fleet]\ngateways = {gateways}"]
+    lines.append('[[plans]]\nname = "p"\nrate = 1000000\nburst = 1000000')
+    lines += zones(hosts)
     for customer in range(CUSTOMERS):
         lines.append(f'[[clients]]\ncustomer = {customer}\nproduct = "read"\nplan = "p"')
         lines.append(f"rate = {rate / CUSTOMERS}\nspread = {gateways}")
@@ -165,13 +172,9 @@
 
 
 def worded(hosts: int) -> str:
-    """The same world as a scenario file, for the stand-ins' processes."""
-    lines = ["[fleet]\ngateways = 1"]
-    for zone, first in enumerate(range(0, hosts, ZONE_HOSTS)):
-        lines.append(f'[[fleet.zones]]\nname = "z{zone}"\nhosts = {min(ZONE_HOSTS, hosts - first)}')
-        lines.append(f'service = {{ kind = "fixed", mean_ms = {SERVICE_MS} }}')
-    lines.append('[[clients]]\ncustomer = 1\nproduct = "read"\nplan = "p"\nrate = 1')
-    return "\n".join(lines)
+    """The same hosts as a scenario file, for the stand-ins' processes."""
+    client = '[[clients]]\ncustomer = 1\nproduct = "read"\nplan = "p"\nrate = 1'
+    return "\n".join(["[fleet]\ngateways = 1", *zones(hosts), client])
 
 
 def costs(
--- a/granitedock/lab/scale/tables.py
+++ b/granitedock/lab/scale/tables.py
@@ -5,7 +5,6 @@
 import re
 from collections.abc import Iterable, Sequence
 from dataclasses import fields
-from math import isinf
 from typing import Any
 
 from granitedock.lab.scale.probe import ScaleError
@@ -31,8 +30,6 @@
         return f"{value:,}" if isinstance(value, int) else str(value)
     if value != value:
         return "not measured"
-    if isinf(value):
-        return "without end"
     size = abs(value)
     if size >= 1000:
         return f"{value:,.0f}"
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -61,3 +61,19 @@
 def pytest_terminal_summary(terminalreporter, config):
     for name, cause, issue in listed(config.rootpath / "KNOWN-RED.txt"):
         terminalreporter.write_line(f"known red: {name}: {cause} (issue {issue})")
+
+
+@pytest.fixture
+def live(tmp_path):
+    """Makes gateways on real sockets (`live.Live`), ended with the story."""
+    from live import Live
+
+    made = []
+
+    def make(**more):
+        made.append(Live(tmp_path, **more))
+        return made[-1]
+
+    yield make
+    for one in made:
+        one.close()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -7,7 +7,7 @@
 
 import pytest
 from fakehost import BORN
-from live import VALUE, WATCHED, Live, Peer, Server, answer, chunk
+from live import VALUE, WATCHED, Peer, Server, answer, chunk
 
 from granitedock.service.resp import command
 
@@ -16,19 +16,6 @@
 ERR = b"-ERR failed\r\n"
 
 
-@pytest.fixture
-def live(tmp_path):
-    made = []
-
-    def make(**more):
-        made.append(Live(tmp_path, **more))
-        return made[-1]
-
-    yield make
-    for one in made:
-        one.close()
-
-
 def out_at_host(gate, client, name="once", **more):
     """A request that is written whole to the host, and the host's end of it."""
     client.send(gate.request(name, **more))
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,13 +1,16 @@
 """The form of the slopes at small sizes, by counts of messages, bytes and steps; and the page's tables."""
 
 import sys
+from dataclasses import replace
+from math import isinf
 
 import pytest
 
-from granitedock.lab.scale import command, fleet, hosts, plans, view
+from granitedock.lab.scale import calls, command, fleet, hosts, plans, requests, view
+from granitedock.lab.scale.capacity import capacity_sections, over_budget, role_rows
 from granitedock.lab.scale.platform import host_list, platform_file
 from granitedock.lab.scale.probe import ScaleError, cpu_ms
-from granitedock.lab.scale.results import form, read, slope
+from granitedock.lab.scale.results import Machine, Results, form, read, slope
 from granitedock.lab.scale.sizes import FULL, OperatorSize
 from granitedock.lab.scale.tables import filled
 from granitedock.service import told
@@ -77,8 +80,6 @@
 
 
 def test_sizes_beyond_the_machine_start_nothing(monkeypatch):
-    from dataclasses import replace
-
     with pytest.raises(ScaleError, match="descriptors"):
         command.checked(replace(FULL, counter_connections=(10**9,)))
     with pytest.raises(ScaleError, match="MB"):
@@ -104,6 +105,33 @@
         read(path)
 
 
+def made_up_results():
+    """A run's record with plain figures: no measurement."""
+    cost = requests.RequestCost(20, True, 160.0, 9, 0, 600.0, 3.0, 5.0, 6.0, 2.0, 3.0, 4.0, 30, 38.0)
+    return Results(
+        True,
+        Machine(8, "3", 0.0, 0.0),
+        hosts=[hosts.HostCost(n, 99 * n, 1.0, 1.0, 200, 1.0, 0.1, n / 1e3, n / 1e3) for n in (100, 200)],
+        plans=[plans.PlanCost(n, 100 * n, n / 1e3, n / 1e3, n / 1e4, 400.0) for n in (100, 200)],
+        view=[view.ViewCost(n, 6.0, 600.0, 0.2) for n in (10, 500)],
+        requests=[cost, replace(cost, counting=False, cpu_us=500.0)],
+        calls=[calls.CallCost(4, 40_000.0, 20.0, 59, 12)],
+    )
+
+
+def test_a_change_in_force_is_what_is_missing_first_and_figures_are_slope_by_count(tmp_path):
+    results = made_up_results()
+    over = over_budget(role_rows(results, OperatorSize()))
+    assert over[0].what.startswith("a change in force") and isinf(over[0].factor)
+    assert any(row.what.startswith("calls a second to one counter") and row.factor == 2.0 for row in over)
+    made = capacity_sections(results, OperatorSize())
+    assert "| never |" in made["role-control"]
+    assert "100.0 us x 160.0 calls/s" in made["role-gateway"]
+    assert "7,900 hosts | 7.9 MB" in made["role-gateway"]
+    results.write(tmp_path / "scale.json")
+    assert read(tmp_path / "scale.json") == results
+
+
 def test_the_operators_size_is_told_a_gateway_and_a_second():
     size = OperatorSize()
     assert size.requests_a_gateway == 160.0
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -4,24 +4,11 @@
 import re
 
 import pytest
-from live import VALUE, WATCHED, Live, chunk
+from live import VALUE, WATCHED, chunk
 
 TIME_LEFT = re.compile(rb",d=(\d+)")
 
 
-@pytest.fixture
-def live(tmp_path):
-    made = []
-
-    def make(**more):
-        made.append(Live(tmp_path, **more))
-        return made[-1]
-
-    yield make
-    for one in made:
-        one.close()
-
-
 def first_host(gate):
     """The connection of the attempt that is out, and the number of its host."""
     for number in range(len(gate.hosts)):
