--- a/granitedock/lab/scale/command.py
+++ b/granitedock/lab/scale/command.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from granitedock.lab.scale import calls, configuration, fleet, hosts, plans, requests, tables, view
+from granitedock.lab.scale import calls, configuration, documents, fleet, hosts, plans, requests, tables, view
 from granitedock.lab.scale.capacity import capacity_sections
 from granitedock.lab.scale.probe import ScaleError, alone
 from granitedock.lab.scale.results import Machine, Results
@@ -70,6 +70,7 @@
                 fleet.measure,
                 [(count, sizes.hollow_hosts, True) for count in sizes.hollow_gateways],
             ),
+            "documents": self.each("documents", documents.measure, [(count,) for count in sizes.plans]),
             "configuration": self.each("configuration", configuration.measure, list(sizes.configuration)),
         }
         cores = os.cpu_count() or 1
--- a/granitedock/lab/scale/party_rows.py
+++ b/granitedock/lab/scale/party_rows.py
@@ -186,6 +186,16 @@
             by,
             0.3,
         ),
+        Row(
+            "the document at a gateway, memory",
+            f"{figure(size.plans)} plans",
+            slopes.at("documents", "plans", "memory_mb", size.plans),
+            "MB",
+            "documents",
+            MEASURED,
+            by,
+            10.0,
+        ),
         Row(
             "the loop's hold-up for a change",
             at,
--- a/granitedock/lab/scale/results.py
+++ b/granitedock/lab/scale/results.py
@@ -12,6 +12,7 @@
 
 from granitedock.lab.scale.calls import CallCost
 from granitedock.lab.scale.configuration import ConfigurationCost
+from granitedock.lab.scale.documents import DocumentCost
 from granitedock.lab.scale.fleet import FleetCost
 from granitedock.lab.scale.hosts import HostCost
 from granitedock.lab.scale.plans import PlanCost
@@ -45,6 +46,7 @@
     requests: list[RequestCost] = field(default_factory=list)
     calls: list[CallCost] = field(default_factory=list)
     fleets: list[FleetCost] = field(default_factory=list)
+    documents: list[DocumentCost] = field(default_factory=list)
     configuration: list[ConfigurationCost] = field(default_factory=list)
     not_taken: list[str] = field(default_factory=list)  # measurements that failed, and why
 
@@ -59,6 +61,7 @@
     "requests": RequestCost,
     "calls": CallCost,
     "fleets": FleetCost,
+    "documents": DocumentCost,
     "configuration": ConfigurationCost,
 }
 
--- a/granitedock/lab/scale/tables.py
+++ b/granitedock/lab/scale/tables.py
@@ -18,6 +18,7 @@
     "requests": "requests at one gateway",
     "calls": "calls to one counter stand-in",
     "fleets": "hollow gateways on one machine",
+    "documents": "the configuration's document",
     "configuration": "hollow gateways that follow control processes",
 }
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from granitedock.lab.scale import calls, command, fleet, hosts, plans, requests, view
+from granitedock.lab.scale import calls, command, documents, fleet, hosts, plans, requests, view
 from granitedock.lab.scale.capacity import capacity_sections, over_budget, role_rows
 from granitedock.lab.scale.platform import host_list, platform_file
 from granitedock.lab.scale.probe import ScaleError, cpu_ms
@@ -53,6 +53,12 @@
     assert checked[1] < 1.2 * checked[0]
 
 
+def test_a_change_of_the_document_has_the_same_size_at_any_count_and_a_snapshot_grows_in_line():
+    rows = [documents.measure(count) for count in (200, 800)]
+    assert form(rows, "plans", "snapshot_bytes") == "linear"
+    assert form(rows, "plans", "memory_mb") == "linear"
+
+
 def test_names_that_stand_twice_are_looked_for_in_one_pass_over_the_plans():
     """Guards the platform's file of 21,000 plans, read in 0.06 s, against 3.8 s by a pass for each name."""
     files = {count: platform_file(count) for count in (1_000, 8_000)}
