--- a/granitedock/configuration/server.py
+++ b/granitedock/configuration/server.py
@@ -33,6 +33,7 @@
 CHANGES, DOCUMENT, STATUS = "/configuration/changes", "/configuration/document", "/configuration/status"
 HEARTBEAT_S = 1.0
 MOST_REPORT_BYTES = 4096  # one line of a follower
+IDLE_MS = 30_000.0  # a connection that asks for nothing whole, and is no watch
 LINES_AT_ONCE = 8  # written to one follower in a turn of the loop
 JSON = [("Content-Type", "application/json")]
 
@@ -67,6 +68,7 @@
         self.buffer = LineBuffer(MOST_REPORT_BYTES)
         self.full = False  # the transport has bytes enough to write
         self.over = False
+        self.since = service.control.clock()  # it came, or was last answered
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -138,6 +140,7 @@
         if act is None:
             raise HttpError(404, [f"{method} {path}: no such request"])
         self.answer(200, act())
+        self.since = self.control.clock()
         if not self.over:
             self.http.start_next_cycle()
 
@@ -208,7 +211,15 @@
         self.transport.write(self.http.send(h11.Data(data=data)))
 
     def heartbeat(self) -> None:
-        if self.follower is not None and not self.full and not self.over:
+        """Life for a follower. Guards the descriptors against connections that never ask for anything
+        whole."""
+        if self.over:
+            return
+        if self.follower is None:
+            if self.control.clock() - self.since > IDLE_MS:
+                self.control.publisher.counts["idle"] += 1
+                self.end()
+        elif not self.full:
             self.write(HEARTBEAT)
 
     # Answers, and the end.
