--- a/granitedock/lab/scale/tables.py
+++ b/granitedock/lab/scale/tables.py
@@ -78,10 +78,10 @@
         f"{machine.cores} cores, Python {machine.python}; load {machine.load_before:.1f} before and "
         f"{machine.load_after:.1f} after{', quick sizes' if results.quick else ''}.\n"
     )
-    if results.taken_later:
-        said += "\nMeasured again by themselves after that run: " + ", ".join(results.taken_later) + ".\n"
     if results.not_taken:
-        said += "\nNot taken: " + "; ".join(results.not_taken) + ".\n"
+        said += "\nNot taken in that run: " + "; ".join(results.not_taken) + ".\n"
+    if results.taken_later:
+        said += "\nMeasured again by themselves after it: " + ", ".join(results.taken_later) + ".\n"
     return {"machine": said} | {kind: measured(getattr(results, kind)) for kind in TITLES}
 
 
