--- a/granitedock/configuration/attach.py
+++ b/granitedock/configuration/attach.py
@@ -89,8 +89,14 @@
         self.document.end(version, digest)
 
     def unwritten(self, why: str) -> None:
-        """From the copy's thread."""
-        self.reactor.callFromThread(self.diary.event, "configuration copy unwritten", why=why)
+        """From the copy's thread, which has ended."""
+        self.reactor.callFromThread(self.copy_lost, why)
+
+    def copy_lost(self, why: str) -> None:
+        """Guards the memory: nobody takes any more what would wait for the copy."""
+        self.copy, self.records = None, []
+        self.diary.counts["configuration_copy_unwritten"] += 1
+        self.diary.event("configuration copy unwritten", why=why)
 
     # `Keeper` of the followed document: what acts here, and what is kept.
 
@@ -99,6 +105,10 @@
             self.records.append((section, record))
         return self.applied.keep(section, record)
 
+    def begin(self) -> None:
+        """Guards the copy against entries of a snapshot that was cut short and are gone in the next."""
+        self.records = []
+
     def change(self, change: VersionedChange, prepared: Prepared[Entry]) -> None:
         self.applied.change(change, prepared)
         if self.copy is not None:
--- a/granitedock/configuration/control.py
+++ b/granitedock/configuration/control.py
@@ -10,7 +10,7 @@
 
 import orjson
 
-from granitedock.configuration.change_form import WINDOW, ChangeRefused, WrongBase, whole_document
+from granitedock.configuration.change_form import ChangeRefused, WrongBase, whole_document
 from granitedock.configuration.document import (
     Change,
     ConfigurationError,
@@ -128,6 +128,9 @@
 
     # A replica (`Keeper` of its followed document).
 
+    def begin(self) -> None:
+        """Nothing is kept of a document on its way but its fresh contents."""
+
     def change(self, change: VersionedChange, prepared: Prepared[bytes]) -> None:
         self.store.append(change)
         self.wake(self.publisher.changed(change, self.clock()))
@@ -165,6 +168,3 @@
             "following": None if self.follower is None else self.follower.status(),
             "counts": dict(self.publisher.counts),
         }
-
-
-__all__ = ["WINDOW", "Control", "NotWriter"]
--- a/granitedock/configuration/followed.py
+++ b/granitedock/configuration/followed.py
@@ -5,7 +5,6 @@
 from typing import Generic, Protocol, TypeVar
 
 from granitedock.configuration.document import (
-    ConfigurationError,
     Contents,
     DigestDiffers,
     Edit,
@@ -26,6 +25,10 @@
         """What is kept of a record. Raises ConfigurationError."""
         ...
 
+    def begin(self) -> None:
+        """A whole document is to come; one that was on its way is not."""
+        ...
+
     def change(self, change: VersionedChange, prepared: Prepared[Value]) -> None:
         """The change is about to be in force; an exception keeps it out."""
         ...
@@ -60,6 +63,7 @@
 
     def begin(self) -> None:
         self.fresh = Contents(self.keeper.keep)
+        self.keeper.begin()
 
     def page(self, edit: Edit) -> None:
         self.fresh.commit(self.fresh.prepare(edit), 0)
@@ -82,6 +86,3 @@
         if stated != made:
             stated_text, made_text = digest_text(stated), digest_text(made)
             raise DigestDiffers(f"version {version}: digest {made_text}, and {stated_text} is stated")
-
-
-__all__ = ["ConfigurationError", "FollowedDocument", "Keeper"]
--- a/granitedock/configuration/gateway.py
+++ b/granitedock/configuration/gateway.py
@@ -44,6 +44,9 @@
                 f"{section.value}: {record.get('Name')!r}: {type(fault).__name__}: {fault}"
             ) from None
 
+    def begin(self) -> None:
+        """What is in force stays so until the whole document is there."""
+
     def change(self, change: VersionedChange, prepared: Prepared[Entry]) -> None:
         """Some plans and classes are put or removed."""
         put: dict[Section, dict[str, Entry]] = {section: {} for section in Section}
--- a/granitedock/configuration/settings.py
+++ b/granitedock/configuration/settings.py
@@ -10,7 +10,7 @@
 
 from pydantic import AfterValidator, Field
 
-from granitedock.tomlfile import FileError, Found, Strict, checked, read
+from granitedock.tomlfile import Found, Strict, checked, read
 
 
 def listen_address(text: str) -> str:
@@ -66,6 +66,3 @@
 def load_control(path: str | Path) -> ControlFile:
     """Read and check a control process's file. Raises tomlfile.FileError."""
     return checked(read(path), str(path), ControlFile, same_address)
-
-
-__all__ = ["ControlFile", "FileError", "GatewayFile", "load_control", "load_gateway"]
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -5,6 +5,7 @@
 import sqlite3
 import subprocess
 import sys
+from collections import Counter
 from random import Random
 
 import pytest
@@ -12,13 +13,27 @@
 from hypothesis import strategies as st
 
 from granitedock.configuration import publisher as publishing
+from granitedock.configuration.attach import ConfigurationLink
 from granitedock.configuration.change_form import ChangeRefused, WrongBase, change_of, parsed
 from granitedock.configuration.control import Control, NotWriter
+from granitedock.configuration.copy_file import CopyFile
 from granitedock.configuration.document import Change, Section, canonical
 from granitedock.configuration.followed import FollowedDocument
 from granitedock.configuration.follower import Follower, own_order
-from granitedock.configuration.messages import Current, InForce, Malformed, Resend, decoded, encoded
+from granitedock.configuration.messages import (
+    Current,
+    InForce,
+    Malformed,
+    Page,
+    Resend,
+    SnapshotBegins,
+    decoded,
+    encoded,
+)
+from granitedock.configuration.settings import GatewayFile
 from granitedock.configuration.store import Store, StoreError
+from granitedock.lab.scale.hosts import reducer
+from granitedock.lab.scale.platform import platform_file
 from granitedock.lab.scale.platform import settings as platform_settings
 
 PLAN = {"Name": "gold", "Refill": 50, "MostAtOnce": 100}
@@ -184,6 +199,9 @@
     def keep(self, section, record):
         return record
 
+    def begin(self):
+        pass
+
     def change(self, change, prepared):
         pass
 
@@ -653,3 +671,62 @@
     link.dataReceived(line)
     assert link.over and link.transport.written.startswith(status)
     assert told == ["request refused"] and writer.publisher.counts["refused"] == 1
+
+
+class Gateway:
+    """Reactor and log of a gateway's part; what a thread asks of the loop is done at once."""
+
+    def __init__(self):
+        self.counts, self.events = Counter(), []
+
+    def event(self, event, **figures):
+        self.events.append(event)
+
+    def callFromThread(self, act, *what, **named):
+        act(*what, **named)
+
+
+def followed_by_gateway(tmp_path, copy):
+    """A gateway's part that keeps a copy, with no connection to control."""
+    told = platform_file()
+    gateway = Gateway()
+    file = GatewayFile(enabled=True, cluster="lab", control=["127.0.0.1:1"], copy_file=str(copy))
+    link = ConfigurationLink(file, "g1", reducer(told), gateway, lambda: 1e12, gateway)
+    link.copy = CopyFile(copy, "lab", link.unwritten)
+    return link, gateway
+
+
+def take_in(link, lines):
+    """A snapshot's lines, as far as they are given."""
+    for line in lines:
+        message = decoded(line)
+        if isinstance(message, SnapshotBegins):
+            link.document.begin()
+        elif isinstance(message, Page):
+            link.document.page(message.edit)
+        else:
+            link.document.end(message.version, message.digest)
+
+
+def test_a_snapshot_cut_short_leaves_nothing_in_the_copy_of_the_next(writer, tmp_path):
+    link, gateway = followed_by_gateway(tmp_path, tmp_path / "g.copy")
+    link.copy.start()
+    take_in(link, writer.snapshot()[:-1])
+    writer.apply(change(1, [PLAN], ["tenant-00001"]), "test")
+    take_in(link, writer.snapshot())
+    link.copy.stop()
+    again, gateway = followed_by_gateway(tmp_path, tmp_path / "g.copy")
+    again.read_copy()
+    assert gateway.events == ["configuration copy read"]
+    assert again.document.version == 2
+    again.copy.stop()
+
+
+def test_a_copy_that_cannot_be_written_is_named_and_nothing_waits_for_it(writer, tmp_path):
+    link, gateway = followed_by_gateway(tmp_path, tmp_path / "none" / "g.copy")
+    thread = link.copy.thread
+    link.copy.start()
+    thread.join(5.0)
+    assert gateway.events == ["configuration copy unwritten"]
+    take_in(link, writer.snapshot())
+    assert link.copy is None and link.records == [] and link.document.version == 1
