Slow iterations of the event loop are counted and logged

Change: the reactor reports the time from the end of a poll to the start of the next; over 100 ms the service counts it (`loop_slow`, in INFO and Prometheus) and logs `event loop slow` with its ms.

--- a/granitedock/service/counter_names.py
+++ b/granitedock/service/counter_names.py
@@ -41,6 +41,9 @@
 WATCHES = "watches"
 WATCH_SPOILT = "watch_spoilt"
 
+# The event loop.
+SLOW_ITERATIONS = "loop_slow"
+
 # Gauges, reported with the counters.
 TASKS_NOW = "tasks_now"
 CLIENT_LINKS_NOW = "client_links_now"
--- a/granitedock/service/gateway_service.py
+++ b/granitedock/service/gateway_service.py
@@ -17,6 +17,7 @@
 
 from granitedock.event_log import EventLog
 from granitedock.platform_file import PlatformFileError, load
+from granitedock.service import counter_names
 from granitedock.service.client_protocol import ClientProtocolFactory
 from granitedock.service.discovery_protocol import EndpointListUpdate, parse_endpoint_list
 from granitedock.service.dispatcher import GatewayParameters, GatewayStateMachine
@@ -31,6 +32,9 @@
     from granitedock.service.operator_settings import OperatorSettings
 
 
+SLOW_ITERATION_MS = 100.0  # A longer iteration of the event loop is counted and logged.
+
+
 def initial_endpoint_list(contents: dict[str, Any], path: str) -> EndpointListUpdate | None:
     """Return the last endpoint list of this gateway from the contents of the platform file, or None.
 
@@ -72,6 +76,7 @@
         self.clock = reactor.timer_queue.clock
         self.log = EventLog(self.name, self.clock, limits.log_lines)
         reactor.timer_queue.handle_input = self.handle_input
+        reactor.iteration_ended = self.observe_iteration
         addresses = ServerAddresses.from_platform_file(contents)
         self.effects = ReactorEffects(reactor, self.handle_input, addresses, limits)
         initial_list = initial_endpoint_list(contents, path)
@@ -132,6 +137,12 @@
         self.log.counts["faults"] += 1
         self.log.event("fault", input=input_name, trace=trace)
 
+    def observe_iteration(self, duration_ms: float) -> None:
+        """Count and log an iteration of the event loop in which other connections and timers waited long."""
+        if duration_ms > SLOW_ITERATION_MS:
+            self.log.counts[counter_names.SLOW_ITERATIONS] += 1
+            self.log.event("event loop slow", ms=round(duration_ms, 1))
+
     def log_network_error(self, event: dict[str, Any]) -> None:
         """Observe Twisted's log, and count and log errors that Twisted caught and writes only there."""
         if "log_failure" in event:
--- a/granitedock/service/reactor.py
+++ b/granitedock/service/reactor.py
@@ -12,14 +12,16 @@
 
 
 class TimedPoller:
-    """The epoll object of the reactor, with a callback at the end of each poll."""
+    """The epoll object of the reactor, with callbacks at the start and at the end of each poll."""
 
-    def __init__(self, poller: Any, poll_ended: Callable[[], None]) -> None:
+    def __init__(self, poller: Any, poll_started: Callable[[], None], poll_ended: Callable[[], None]) -> None:
         self.poller = poller
+        self.poll_started = poll_started
         self.poll_ended = poll_ended
 
     def poll(self, *args: Any) -> list[tuple[int, int]]:
-        """Run `select.epoll.poll`, then the callback."""
+        """Run `select.epoll.poll` between the callbacks."""
+        self.poll_started()
         try:
             return self.poller.poll(*args)
         finally:
@@ -46,11 +48,21 @@
         # Both times are Unix ms.
         self.earliest_arrival_ms = started_at_ms
         self.last_poll_ended_ms = started_at_ms
+        # Called with the duration of each iteration of the event loop after the first poll, in ms; set by the
+        # service.
+        self.iteration_ended: Callable[[float], None] | None = None
+        self.polled = False
         super().__init__()
-        self._poller = TimedPoller(self._poller, self.poll_ended)
+        self._poller = TimedPoller(self._poller, self.poll_started, self.poll_ended)
+
+    def poll_started(self) -> None:
+        """Report how long the input of the last poll, and the timers after it, took."""
+        if self.polled and self.iteration_ended is not None:
+            self.iteration_ended(self.timer_queue.clock() - self.last_poll_ended_ms)
 
     def poll_ended(self) -> None:
         """Record the time of this poll's end, the earliest arrival of data that the next poll reports."""
+        self.polled = True
         self.earliest_arrival_ms = self.last_poll_ended_ms
         self.last_poll_ended_ms = self.timer_queue.clock()
 
--- a/tests/service/test_race_conditions.py
+++ b/tests/service/test_race_conditions.py
@@ -16,6 +16,7 @@
 from granitedock.service.discovery_watch import WatchState
 from granitedock.service.inputs import Input
 from granitedock.service.lifecycle import LifecycleState
+from granitedock.service.gateway_service import SLOW_ITERATION_MS
 from granitedock.service.resp import encode_command
 
 PING = encode_command(b"PING")
@@ -593,3 +594,24 @@
     assert len(gateway.reactor.getReaders()) <= 48
     for peer in idle:
         peer.close()
+
+
+# The event loop.
+
+
+def test_an_iteration_of_the_event_loop_that_takes_long_is_counted_and_logged(make_gateway):
+    """Guards against a gateway that stops for seconds without a trace of it in its log."""
+    gateway = make_gateway()
+    counts = gateway.state_machine.context.counts
+
+    def take(ms):
+        gateway.now_ms += ms
+
+    gateway.pass_ms(1000)
+    gateway.reactor.callLater(0, take, SLOW_ITERATION_MS)
+    gateway.run_loop()
+    assert counts["loop_slow"] == 0
+    gateway.reactor.callLater(0, take, SLOW_ITERATION_MS + 50)
+    gateway.run_loop()
+    assert counts["loop_slow"] == 1
+    assert gateway.log_events[-1] == ("event loop slow", {"ms": SLOW_ITERATION_MS + 50})
