--- a/tests/service/test_race_conditions.py
+++ b/tests/service/test_race_conditions.py
@@ -14,9 +14,9 @@
 
 from granitedock.policy.states import HostState
 from granitedock.service.discovery_watch import WatchState
+from granitedock.service.gateway_service import SLOW_ITERATION_MS
 from granitedock.service.inputs import Input
 from granitedock.service.lifecycle import LifecycleState
-from granitedock.service.gateway_service import SLOW_ITERATION_MS
 from granitedock.service.resp import encode_command
 
 PING = encode_command(b"PING")
