--- a/granitedock/commands/laboratory.py
+++ b/granitedock/commands/laboratory.py
@@ -6,6 +6,8 @@
 
 import click
 
+MAX_RUN_S = 3600
+
 
 @click.group()
 def lab() -> None:
@@ -20,7 +22,14 @@
     type=click.Path(file_okay=False),
     help="Write files, logs, rows and plots to this folder.",
 )
-def lab_run(scenario: str | None, output: str | None) -> None:
+@click.option(
+    "--seconds",
+    "length_s",
+    type=click.FloatRange(1, MAX_RUN_S),
+    help="The length of the run, instead of the scenario's.",
+)
+@click.option("--seed", type=click.IntRange(0), help="The seed of the run, instead of the scenario's.")
+def lab_run(scenario: str | None, output: str | None, length_s: float | None, seed: int | None) -> None:
     """Run SCENARIO with real gateways; exits with 1 if the result is not as the scenario expects.
 
     The default scenario runs two gateways for a minute, with a zone that becomes slow.
@@ -29,7 +38,7 @@
     from granitedock.lab.scenario_runner import DEFAULT_SCENARIO, run_scenario
 
     try:
-        raise SystemExit(run_scenario(scenario or DEFAULT_SCENARIO, output, click.echo))
+        raise SystemExit(run_scenario(scenario or DEFAULT_SCENARIO, output, click.echo, length_s, seed))
     except ScenarioError as error:
         raise click.ClickException(str(error)) from None
 
--- a/granitedock/lab/scenario.py
+++ b/granitedock/lab/scenario.py
@@ -113,6 +113,15 @@
     subset_start: Annotated[int, Field(ge=0, le=63)] = Field(default=0, alias="first")
 
 
+class Floods(StrictModel):
+    """Bad clients at one gateway: each `every_s` seconds, `clients` of them send at most `values` values."""
+
+    gateway: Annotated[int, Field(ge=0, le=63)] = 0
+    clients: Annotated[int, Field(ge=1, le=100)] = 4
+    every_s: Annotated[float, Field(ge=0.1)] = 2.0
+    values: Annotated[int, Field(ge=1, le=999)] = 300
+
+
 class Fault(StrictModel):
     """A fault of the timeline on `target`, which starts at `at_s` and lasts `for_s` (0: until the run ends).
 
@@ -163,6 +172,7 @@
     fleet: Fleet
     plans: Annotated[list[Plan], Field(min_length=1)] = [Plan()]
     clients: Annotated[list[Clients], Field(min_length=1)]
+    floods: list[Floods] = []
     timeline: list[Fault] = []
     expect: list[Expect] = []
 
@@ -173,7 +183,12 @@
 
 def cross_check(scenario: Scenario) -> list[CrossCheckProblem]:
     """Return the problems of a scenario whose parts are valid alone but not in combination."""
-    return timeline_problems(scenario) + expectation_problems(scenario) + client_problems(scenario)
+    return (
+        timeline_problems(scenario)
+        + expectation_problems(scenario)
+        + client_problems(scenario)
+        + flood_problems(scenario)
+    )
 
 
 def timeline_problems(scenario: Scenario) -> list[CrossCheckProblem]:
@@ -234,6 +249,16 @@
     return problems
 
 
+def flood_problems(scenario: Scenario) -> list[CrossCheckProblem]:
+    """Return the problems of floods at a gateway that the fleet does not have."""
+    gateways = scenario.fleet.gateways
+    return [
+        (("floods", position, "gateway"), f"the fleet has {gateways} gateways, numbered from 0")
+        for position, floods in enumerate(scenario.floods)
+        if floods.gateway >= gateways
+    ]
+
+
 def load(path: str | Path) -> Scenario:
     """Read and validate a scenario file. Raises ScenarioError, before anything is started."""
     return parse(read_text(path, ScenarioError), str(path))
@@ -242,3 +267,18 @@
 def parse(text: str, name: str = "<scenario>") -> Scenario:
     """Validate a scenario given as TOML text; errors show `name` as the file. Raises ScenarioError."""
     return parse_toml(text, name, Scenario, cross_check, ScenarioError)
+
+
+def with_overrides(scenario: Scenario, name: str, length_s: float | None, seed: int | None) -> Scenario:
+    """Return the scenario with another length and another seed, where given.
+
+    Raises ScenarioError, which shows `name` as the file, if its parts do not fit the length.
+    """
+    overrides = {"length_s": length_s, "seed": seed}
+    changed = scenario.model_copy(
+        update={key: value for key, value in overrides.items() if value is not None}
+    )
+    problems = [f"{name}: {'.'.join(map(str, path))}: {problem}" for path, problem in cross_check(changed)]
+    if problems:
+        raise ScenarioError("\n".join(problems))
+    return changed
--- a/granitedock/lab/scenario_runner.py
+++ b/granitedock/lab/scenario_runner.py
@@ -19,11 +19,20 @@
 from granitedock.lab.cluster.cluster import GatewayCluster
 from granitedock.lab.cluster.errors import ClusterError
 from granitedock.lab.fault_targets import TARGETS, FaultKind, TargetKind, gateway_numbers
-from granitedock.lab.load.generator import LoadGenerator
+from granitedock.lab.load.flood_clients import (
+    REPLY_TIMEOUT_S,
+    FloodClients,
+    FloodRecord,
+    unserved_floods,
+)
+from granitedock.lab.load.generator import POLL_S, LoadGenerator
 from granitedock.lab.load.request_record import RequestRecord, served_units
 from granitedock.lab.load.verification import cluster_load, violations
+from granitedock.lab.reactor import on_reactor
 from granitedock.lab.run_storage import Run
-from granitedock.lab.scenario import Expect, Fault, Scenario, load
+from granitedock.lab.scenario import Expect, Fault, Scenario, load, with_overrides
+from granitedock.metrics import parse_counters
+from granitedock.service.counter_names import SLOW_ITERATIONS
 
 ShowLine = Callable[[str], None]  # shows one line to the user
 
@@ -56,12 +65,19 @@
     step: Step
 
 
-def run_scenario(path: str | Path, out: str | None, show_line: ShowLine) -> int:
+def run_scenario(
+    path: str | Path,
+    out: str | None,
+    show_line: ShowLine,
+    length_s: float | None = None,
+    seed: int | None = None,
+) -> int:
     """Run a scenario file; returns the exit code 0 if its expectations are met, else 1.
 
-    The run is stored in `out`, by default in `lab-runs/` under the scenario's name. Raises ScenarioError.
+    The run is stored in `out`, by default in `lab-runs/` under the scenario's name. A length and a seed
+    replace the scenario's. Raises ScenarioError.
     """
-    scenario = load(path)
+    scenario = with_overrides(load(path), str(path), length_s, seed)
     folder = Path(out) if out is not None else DEFAULT_FOLDER / scenario.name
     folder.mkdir(parents=True, exist_ok=True)
     code = run_on_cluster(scenario, folder, show_line)
@@ -83,16 +99,53 @@
         generator = cluster_load(cluster)
         cluster.restart_timeline()
         generator.start()
+        floods = start_floods(scenario, generator)
         run_timeline(cluster, generator, show_line)
+        flood_records = stop_floods(floods)
         records = generator.stop()
         faults = [fault.model_dump(by_alias=True) for fault in scenario.timeline]
         run_storage.save(Run(scenario.name, scenario.length_s, faults, records), folder)
         for line in summary(records):
             show_line(line)
+        if floods:
+            show_line(f"floods {len(flood_records)}, {slow_iterations(cluster)}")
         unmet = violations(generator, cluster) + unmet_expectations(scenario, records, show_line)
+        unmet += unserved_floods(flood_records)
     return show_unmet(unmet, show_line)
 
 
+def start_floods(scenario: Scenario, generator: LoadGenerator) -> list[FloodClients]:
+    """Start the scenario's floods, and return their clients."""
+    floods = [
+        FloodClients(table, f"{scenario.seed}:floods:{number}", generator.addresses[table.gateway])
+        for number, table in enumerate(scenario.floods)
+    ]
+    for clients in floods:
+        on_reactor(clients.start)
+    return floods
+
+
+def stop_floods(floods: list[FloodClients]) -> list[FloodRecord]:
+    """Stop the floods, wait for those that were sent, and return all records."""
+    for clients in floods:
+        on_reactor(clients.stop)
+    records = [record for clients in floods for record in clients.records]
+    deadline_s = time.monotonic() + REPLY_TIMEOUT_S
+    while time.monotonic() < deadline_s and not all(record.finished for record in records):
+        time.sleep(POLL_S)
+    return records
+
+
+def slow_iterations(cluster: GatewayCluster) -> str:
+    """Return how many iterations of each running gateway's event loop were slow, by its own counter."""
+    counts = [
+        parse_counters(cluster.ask(gateway.number, b"INFO")).get(SLOW_ITERATIONS, 0)
+        for gateway in cluster.gateways
+        if gateway.is_running()
+    ]
+    return f"slow iterations of the gateways' event loops: {counts}"
+
+
 def run_load(
     path: str, addresses: list[str], seconds: float | None, out: str | None, show_line: ShowLine
 ) -> int:
