Tests: a receiver that is paused within a read goes on where it stopped

Why: the framing now stops at a value when its client leaves replies unread, whole reads included; no test held that the rest is neither handled meanwhile nor lost.

--- a/tests/service/test_event_loop_hold.py
+++ b/tests/service/test_event_loop_hold.py
@@ -129,6 +129,33 @@
         assert received(in_pieces, (64, 128, 256, 8, 3)) == in_bytes, in_pieces
 
 
+class PausableTransport(StubTransport):
+    def resumeProducing(self):
+        pass
+
+
+@pytest.mark.parametrize("end", ENDS.values(), ids=ENDS)
+def test_a_receiver_that_is_paused_within_a_read_goes_on_with_the_next_value_when_resumed(end):
+    """Guards against commands that are handled while their client leaves replies unread, or are lost then."""
+    receiver, values = RespReceiver(*LIMITS), []
+
+    def pause_at_each_value(value, _parts):
+        assert not receiver.paused
+        values.append(value)
+        receiver.paused = True
+
+    receiver.value_received = pause_at_each_value
+    receiver.makeConnection(PausableTransport())
+    receiver.dataReceived(VALUES["ping"] + VALUES["unknown command"] + VALUES["ping"] + end)
+    expected = [[b"PING"], [b"X", b"a"], [b"PING"]]
+    for count in range(1, len(expected) + 1):
+        assert values == expected[:count]
+        receiver.resumeProducing()
+    assert values[: len(expected)] == expected and receiver.has_partial_message() == (
+        end not in (b"", b"+x\r\n")
+    )
+
+
 # A whole gateway on loopback sockets.
 
 
