Tests of framing: the small limits have a name

Cause: found in reading the change again; the same five limits stood three times, beside a default that nothing used.

--- a/tests/service/test_event_loop_hold.py
+++ b/tests/service/test_event_loop_hold.py
@@ -17,6 +17,7 @@
 from granitedock.service.resp_receiver import RespReceiver
 
 LIMITS = (1024, 65536, 69632, 64, 4)  # Of a receiver: line, bulk string and value bytes; items, depth.
+SMALL_LIMITS = (64, 128, 256, 8, 3)  # Random values reach each of them.
 LONG_ARRAY = b"*64\r\n" + 64 * b"$1\r\na\r\n"
 VALUES = {
     "ping": encode_command(b"PING"),
@@ -68,9 +69,9 @@
     return [plain(item) for item in value] if isinstance(value, list) else value
 
 
-def received(pieces, limits=LIMITS):
+def received(pieces):
     """Return the values with the parts of their bytes, and the reasons for a rejection."""
-    receiver = RespReceiver(*limits)
+    receiver = RespReceiver(*SMALL_LIMITS)
     values, reasons = [], []
     receiver.value_received = lambda value, parts: values.append((plain(value), parts))
     receiver.malformed = reasons.append
@@ -123,10 +124,10 @@
         data = b"".join(mixed_values(rng) for _ in range(rng.randrange(1, 12)))
         data = data[: rng.randrange(len(data) // 2, len(data) + 1)]
         cuts = sorted(rng.randrange(len(data) + 1) for _ in range(rng.randrange(1, 9)))
-        in_bytes = received([data[n : n + 1] for n in range(len(data))], (64, 128, 256, 8, 3))
+        in_bytes = received([data[n : n + 1] for n in range(len(data))])
         in_pieces = [data[start:end] for start, end in zip([0, *cuts], [*cuts, len(data)])]
-        assert received([data], (64, 128, 256, 8, 3)) == in_bytes, data
-        assert received(in_pieces, (64, 128, 256, 8, 3)) == in_bytes, in_pieces
+        assert received([data]) == in_bytes, data
+        assert received(in_pieces) == in_bytes, in_pieces
 
 
 class PausableTransport(StubTransport):
