Tests: the soak's fleet runs in a group, so that no fifth fleet runs beside four

The soak, added in this work, starts a fleet and was in no group of tests/conftest.py, which holds fleets side by side to four because a fifth once starved just these stories. That the fifth fleet is the cause here is presumed, not traced.

Change: the soak joins a group. No bound is changed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,6 +23,7 @@
     "test_membership_processes.py": ("fleets-4",),
     "test_rule_checks.py": ("fleets-4",),
     "test_configuration_processes.py": ("fleets-4",),
+    "test_flood_soak.py": ("fleets-3",),
 }
 
 
