A retry not delivered at the end of its window is logged, with the kernel's bytes

The log event `retry undelivered` names the state of the connection and what the kernel holds (SIOCOUTQ). Nothing else changes.

--- a/granitedock/model_checking/modelled_connections.py
+++ b/granitedock/model_checking/modelled_connections.py
@@ -80,6 +80,10 @@
 
     disconnected: ClassVar[Input] = Input.HOST_DISCONNECTED
 
+    def unacknowledged_bytes(self) -> int:
+        """Return 0: messages arrive in full."""
+        return 0
+
     def send(self, _data: bytes, _at_once: bool) -> None:
         """Pass an attempt's request to the host."""
         if not self.closes_early:
--- a/granitedock/service/host_connections.py
+++ b/granitedock/service/host_connections.py
@@ -98,9 +98,10 @@
 
     def _start_deadline(self, connection: HostConnection, attempt: Attempt) -> None:
         self.by_attempt[attempt] = connection
-        connection.deadline_timer = self.context.schedule(
-            connection.attempt_deadline, ATTEMPT_DEADLINE, connection, attempt
-        )
+        self._schedule_deadline(connection, attempt, min(connection.attempt_deadline, attempt.send_before))
+
+    def _schedule_deadline(self, connection: HostConnection, attempt: Attempt, due: float) -> None:
+        connection.deadline_timer = self.context.schedule(due, ATTEMPT_DEADLINE, connection, attempt)
 
     def _free_capacity(self) -> bool:
         """Close an idle connection to make room for a new one, and return whether there was one.
@@ -224,10 +225,33 @@
             )
 
     def deadline_passed(self, connection: HostConnection, attempt: Attempt) -> None:
-        """Handle the deadline of an attempt; a deadline of an earlier attempt is ignored."""
-        if connection.attempt is attempt:
+        """Handle the end of a retry's idempotency window, or the deadline of an attempt.
+
+        That of an earlier attempt is ignored.
+        """
+        if connection.attempt is not attempt:
+            return
+        if self.context.now < connection.attempt_deadline:
+            self._log_undelivered(connection, attempt)
+            self._schedule_deadline(connection, attempt, connection.attempt_deadline)
+        else:
             advance(HOST_CONNECTION, connection, HostConnectionEvent.DEADLINE, self)
 
+    def _log_undelivered(self, connection: HostConnection, attempt: Attempt) -> None:
+        """Log a retry that the host's machine has not received in full when its idempotency window ends."""
+        link = connection.link
+        unacknowledged = None if link is None else link.unacknowledged_bytes()
+        if connection.state is WAITING and unacknowledged == 0:
+            return
+        request: InFlightRequest = attempt.request  # type: ignore[assignment]  # The service creates all requests.
+        self.context.event_log.event(
+            "retry undelivered",
+            host=connection.endpoint.address,
+            id=request.parsed.id.decode(),
+            state=connection.state.value,
+            unacknowledged_bytes=unacknowledged,
+        )
+
     # Effects of the table.
 
     def write_request(self, connection: HostConnection) -> HostConnectionEvent | None:
--- a/granitedock/service/host_protocol.py
+++ b/granitedock/service/host_protocol.py
@@ -19,6 +19,7 @@
 from granitedock.service.limits import Limits
 from granitedock.service.resp import ErrorReply, has_unread_input, join_parts
 from granitedock.service.resp_receiver import RespReceiver
+from granitedock.service.socket_queue import unacknowledged_bytes
 
 # Each of the following is a `fullmatch` function, called as a predicate on the bytes of a reply.
 IS_OVERLOADED_ERROR = re.compile(rb"BUSY( [!-~]*)?").fullmatch
@@ -142,6 +143,10 @@
         if at_once and self.transport.connected:
             self.transport.doWrite()
 
+    def unacknowledged_bytes(self) -> int | None:
+        """Return how many written bytes the host's machine has not acknowledged, or None if unknown."""
+        return unacknowledged_bytes(self.transport)
+
     def abort(self) -> None:
         """Reset the connection immediately, before any further byte is written.
 
--- a/granitedock/service/ports.py
+++ b/granitedock/service/ports.py
@@ -2,7 +2,7 @@
 
 The state machines emit calls of these methods as effects, which the event loop carries out after the input
 has been handled. Only the event log and queries without side effects (`has_partial_message`,
-`received_bytes`, `has_unread_bytes`) are used directly.
+`received_bytes`, `has_unread_bytes`, `unacknowledged_bytes`) are used directly.
 """
 
 from __future__ import annotations
@@ -111,6 +111,10 @@
         """
         ...
 
+    def unacknowledged_bytes(self) -> int | None:
+        """Return how many written bytes the host's machine has not acknowledged, or None if unknown."""
+        ...
+
     def has_partial_message(self) -> bool:
         """Return whether a response is partly received."""
         ...
