A retry of a keyed request ends with its window unless the host's machine has it

Cause: the window was checked before the retry's first byte only. The kernel takes the whole request long before a slow host has read it, the attempt counts as written, and only its deadline ends it.

Change: the timer of such an attempt fires first at the end of the window. If the process or the kernel still holds a byte that the host's machine has not acknowledged, the connection is reset, which discards these bytes; the attempt ends as one that never ran if its last byte had not left the process, else as one that may have run. The field is `deliver_before` now. Counter `undelivered`, log event `attempt undelivered`.

The test of the window fails without the change in both forms (rest in the kernel, rest in the process).

--- a/granitedock/policy/gateway.py
+++ b/granitedock/policy/gateway.py
@@ -202,13 +202,13 @@
     def new_attempt(self, request: Request, host: Host) -> Attempt:
         """Create the next attempt.
 
-        If a keyed request may have run, the retry must be sent within the idempotency window, and the time to
-        connect counts towards that window.
+        If a keyed request may have run, the retry must reach its host within the idempotency window, and the
+        time to connect and to write counts towards that window.
         """
         attempt = Attempt(request, host, self.now, len(host.health.in_flight))
         execution = first_possible_execution(request)
         if execution is not None and retry_condition(request) is RepeatCondition.IN_SCOPE:
-            attempt.send_before = execution.sent_at + request.request_class.idempotency_window_ms
+            attempt.deliver_before = execution.sent_at + request.request_class.idempotency_window_ms
         return attempt
 
     def attempt_deadline(self, request: Request) -> float | None:
--- a/granitedock/policy/types.py
+++ b/granitedock/policy/types.py
@@ -187,7 +187,7 @@
     sent_at: float
     in_flight_at_send: int
     outcome: Outcome | None = None
-    send_before: float = float("inf")  # The latest time at which the first byte may be sent.
+    deliver_before: float = float("inf")  # The latest time at which the host may receive the last byte.
 
 
 @dataclass(eq=False, slots=True)
--- a/granitedock/service/counter_names.py
+++ b/granitedock/service/counter_names.py
@@ -27,6 +27,7 @@
 HOST_DIALS = "host_dials"
 HOST_STALE = "host_stale"
 OVERFULL = "overfull"
+UNDELIVERED = "undelivered"
 UNWANTED = "unwanted"
 WITHDRAWN = "withdrawn"
 
--- a/granitedock/service/host_connection.py
+++ b/granitedock/service/host_connection.py
@@ -39,6 +39,7 @@
     RESPONSE_STARTED = "response started"
     MALFORMED = "malformed"
     ABANDONED = "abandoned"  # The attempt is no longer needed when its request would be written.
+    WINDOW_ENDED = "window ended"  # A retry is not delivered when its idempotency window ends.
     ASSIGNED = "assigned"  # An attempt reuses an idle connection.
     EXPIRED = "expired"  # The connection was idle for too long, makes room for another, or is not trusted.
 
@@ -60,12 +61,14 @@
     (_S.WRITING, _E.DISCONNECTED): (_S.CLOSED, "connection_failed"),
     (_S.WRITING, _E.DEADLINE): (_S.CLOSED, "abort_unwritten"),
     (_S.WRITING, _E.CANCELLED): (_S.CLOSED, "abort_unwritten"),
+    (_S.WRITING, _E.WINDOW_ENDED): (_S.CLOSED, "abort_unwritten"),
     (_S.WRITING, _E.ABANDONED): (_S.CLOSED, "abort_abandoned"),  # No byte of the request was written.
     (_S.WAITING, _E.RESPONSE): (_S.IDLE, "return_to_pool"),
     (_S.WAITING, _E.EXCESS_DATA): (_S.CLOSED, "abort"),
     (_S.WAITING, _E.MALFORMED): (_S.CLOSED, "abort_as_reset"),
     (_S.WAITING, _E.DISCONNECTED): (_S.CLOSED, "reset"),
     (_S.WAITING, _E.DEADLINE): (_S.CLOSED, "time_out"),
+    (_S.WAITING, _E.WINDOW_ENDED): (_S.CLOSED, "time_out"),
     (_S.WAITING, _E.CANCELLED): (_S.CLOSED, "cancel_waiting"),
     (_S.IDLE, _E.ASSIGNED): (_S.WRITING, "write_request"),
     (_S.IDLE, _E.RESPONSE): (_S.CLOSED, "drop_idle"),  # No request is in flight on it.
@@ -84,7 +87,15 @@
     "a connection is established once": pairs([_S.WRITING, _S.WAITING, _S.IDLE], [_E.CONNECTED]),
     "no byte is read or written before a connection is established": pairs(
         [_S.CONNECTING],
-        [_E.WRITTEN, _E.STALE, _E.RESPONSE, _E.EXCESS_DATA, _E.RESPONSE_STARTED, _E.MALFORMED],
+        [
+            _E.WRITTEN,
+            _E.STALE,
+            _E.RESPONSE,
+            _E.EXCESS_DATA,
+            _E.RESPONSE_STARTED,
+            _E.MALFORMED,
+            _E.WINDOW_ENDED,
+        ],
     ),
     "an attempt is abandoned only when its request is about to be written": pairs(
         [_S.CONNECTING, _S.WAITING, _S.IDLE], [_E.ABANDONED]
@@ -97,7 +108,7 @@
     "only idle connections are assigned or expire": pairs(
         [_S.CONNECTING, _S.WRITING, _S.WAITING], [_E.ASSIGNED, _E.EXPIRED]
     ),
-    "an idle connection has no attempt": pairs([_S.IDLE], [_E.DEADLINE, _E.CANCELLED]),
+    "an idle connection has no attempt": pairs([_S.IDLE], [_E.DEADLINE, _E.CANCELLED, _E.WINDOW_ENDED]),
 }
 
 
--- a/granitedock/service/host_connections.py
+++ b/granitedock/service/host_connections.py
@@ -98,7 +98,7 @@
 
     def _start_deadline(self, connection: HostConnection, attempt: Attempt) -> None:
         self.by_attempt[attempt] = connection
-        self._schedule_deadline(connection, attempt, min(connection.attempt_deadline, attempt.send_before))
+        self._schedule_deadline(connection, attempt, min(connection.attempt_deadline, attempt.deliver_before))
 
     def _schedule_deadline(self, connection: HostConnection, attempt: Attempt, due: float) -> None:
         connection.deadline_timer = self.context.schedule(due, ATTEMPT_DEADLINE, connection, attempt)
@@ -227,29 +227,35 @@
     def deadline_passed(self, connection: HostConnection, attempt: Attempt) -> None:
         """Handle the end of a retry's idempotency window, or the deadline of an attempt.
 
-        That of an earlier attempt is ignored.
+        That of an earlier attempt is ignored. Prevents hosts that read slowly from receiving a retry after
+        they have forgotten its key: what is not delivered by then ends with its connection.
         """
         if connection.attempt is not attempt:
             return
-        if self.context.now < connection.attempt_deadline:
-            self._log_undelivered(connection, attempt)
-            self._schedule_deadline(connection, attempt, connection.attempt_deadline)
-        else:
+        if self.context.now >= connection.attempt_deadline:
             advance(HOST_CONNECTION, connection, HostConnectionEvent.DEADLINE, self)
-
-    def _log_undelivered(self, connection: HostConnection, attempt: Attempt) -> None:
-        """Log a retry that the host's machine has not received in full when its idempotency window ends."""
-        link = connection.link
-        unacknowledged = None if link is None else link.unacknowledged_bytes()
-        if connection.state is WAITING and unacknowledged == 0:
             return
-        request: InFlightRequest = attempt.request  # type: ignore[assignment]  # The service creates all requests.
+        self._schedule_deadline(connection, attempt, connection.attempt_deadline)
+        if connection.link is not None and self._is_undelivered(connection):
+            self._count_undelivered(connection)
+            advance(HOST_CONNECTION, connection, HostConnectionEvent.WINDOW_ENDED, self)
+
+    def _is_undelivered(self, connection: HostConnection) -> bool:
+        """Return whether the host's machine may lack a part of the request on an established connection.
+
+        The kernel takes a whole request long before a host that reads slowly has it.
+        """
+        return connection.state is WRITING or connection.link.unacknowledged_bytes() != 0  # type: ignore[union-attr]
+
+    def _count_undelivered(self, connection: HostConnection) -> None:
+        request: InFlightRequest = connection.attempt.request  # type: ignore[assignment,union-attr]  # Set while in flight.
+        self.context.counts[counter_names.UNDELIVERED] += 1
         self.context.event_log.event(
-            "retry undelivered",
+            "attempt undelivered",
             host=connection.endpoint.address,
             id=request.parsed.id.decode(),
             state=connection.state.value,
-            unacknowledged_bytes=unacknowledged,
+            unacknowledged_bytes=connection.link.unacknowledged_bytes(),  # type: ignore[union-attr]  # It is open.
         )
 
     # Effects of the table.
@@ -267,7 +273,7 @@
         if (
             request.answer is not None
             or connection.endpoint.status is not EndpointStatus.READY
-            or context.now >= attempt.send_before
+            or context.now >= attempt.deliver_before
         ):
             return HostConnectionEvent.ABANDONED
         data = request.parsed.encode(connection.attempt_deadline - context.now)
--- a/tests/helpers/loopback.py
+++ b/tests/helpers/loopback.py
@@ -22,6 +22,7 @@
 # Unique to this process, so that no outgoing connection of another process on 127.0.0.1 takes the port.
 GATEWAY_ADDRESS = f"127.{100 + os.getpid() // 250 % 100}.{os.getpid() % 250}.1"
 START_MS = 1_700_000_000_000.0
+ETHERNET_SEGMENT_BYTES = 1460
 WATCH_RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -76,10 +77,20 @@
 
 
 class Server:
-    """A listening socket whose connections the test accepts one by one."""
+    """A listening socket whose connections the test accepts one by one.
 
-    def __init__(self, backlog=64):
-        self.sock = socket.create_server(("127.0.0.1", 0), backlog=backlog)
+    `buffer_bytes`, unless 0, bounds the receive buffers of its connections; they use the segments of an
+    Ethernet then, since the loopback device's own are larger than the buffers.
+    """
+
+    def __init__(self, backlog=64, buffer_bytes=0):
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if buffer_bytes:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, ETHERNET_SEGMENT_BYTES)
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen(backlog)
         self.sock.setblocking(False)
         self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
 
@@ -96,6 +107,7 @@
 
     `listed` is whether discovery sends its first list at the start, `known` whether the platform file
     contains an endpoint list, and `configuration` an operators' file of the configuration service.
+    `host_buffer_bytes`, unless 0, bounds the receive buffers of the hosts.
     `exit_times_ms` lists the times at which the gateway ended the process.
     """
 
@@ -108,6 +120,7 @@
         lanes=None,
         known=True,
         configuration=None,
+        host_buffer_bytes=0,
         **settings,
     ):
         self.now_ms, self.next_id, self.version = START_MS, 1, 1
@@ -117,7 +130,7 @@
         # timeout expired between two steps on a busy machine, and no connection was retried because the
         # test's clock had not advanced.
         self.reactor.seconds = lambda: self.now_ms / 1000.0
-        self.hosts = [Server() for _ in range(hosts)]
+        self.hosts = [Server(buffer_bytes=host_buffer_bytes) for _ in range(hosts)]
         self.counter, self.discovery = Server(), Server()
         self.counter_peers, self.watches, self.counter_answers, self.delayed_connects = [], [], True, deque()
         self.host_peers = []  # Keeps a reference to each peer: a socket without one is closed.
--- /dev/null
+++ b/tests/service/test_undelivered_requests.py
@@ -0,0 +1,135 @@
+"""Requests that a host's machine has not received in full when they may no longer arrive there.
+
+Guards against a bound in time that is checked when the write of a request begins and not until the host has
+it: the kernel takes a whole request at once and delivers it for as long as the host takes to read.
+"""
+
+import socket
+import time
+
+import pytest
+from fake_gateway import SETTINGS
+
+from granitedock.service.host_connection import HostConnectionState
+from granitedock.service.host_protocol import HostProtocol
+
+WINDOW_MS = 1000.0
+# Attempts stay in flight for as long as clients wait.
+LANES = [lane | {"TargetMs": 4000, "WindowMs": WINDOW_MS, "DedupScope": "all"} for lane in SETTINGS["Lanes"]]
+KEY = b",k=00000000000000b1"
+BODY = 60000 * b"b"
+REQUEST_END = BODY + b"\r\n"
+HOST_BUFFER_BYTES = 2048
+ERR = b"-ERR failed\r\n"
+PATIENCE_S = 10  # For the kernel to deliver what a test has made it deliver.
+# Where the rest of a request is that a host does not read, in the gateway's kernel or in its process: the
+# state of the connection and the size of its send buffer, in bytes.
+HOLDERS = {
+    "kernel": (HostConnectionState.WAITING, 1 << 18),
+    "process": (HostConnectionState.WRITING, 1 << 12),
+}
+
+
+@pytest.fixture(params=HOLDERS)
+def make_slow_fleet(request, make_gateway, monkeypatch):
+    """A factory of gateways with hosts of which none reads by itself."""
+    state, send_buffer_bytes = HOLDERS[request.param]
+    connected = HostProtocol.connectionMade
+
+    def connected_with_send_buffer(protocol):
+        handle = protocol.transport.getHandle()
+        handle.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes)
+        connected(protocol)
+
+    monkeypatch.setattr(HostProtocol, "connectionMade", connected_with_send_buffer)
+
+    def make(**options):
+        gateway = make_gateway(lanes=LANES, host_buffer_bytes=HOST_BUFFER_BYTES, **options)
+        gateway.undelivered_state = state
+        return gateway
+
+    return make
+
+
+def host_connection(gateway):
+    """Return the gateway's record of the one connection with an attempt, or None."""
+    connections = list(gateway.state_machine.hosts.by_attempt.values())
+    assert len(connections) <= 1
+    return connections[0] if connections else None
+
+
+def receive_request(gateway, host):
+    """Read at the host until it has the whole request, and the gateway's machine knows."""
+    received, give_up_at = b"", time.monotonic() + PATIENCE_S
+    while not received.endswith(REQUEST_END) or host_connection(gateway).link.unacknowledged_bytes():
+        received += host.read()
+        gateway.run_loop()
+        assert not host.ended and time.monotonic() < give_up_at
+
+
+def assert_cut_off(host):
+    """Check that the host's connection was reset before the last byte of the request."""
+    received = host.read()
+    assert BODY[:1] in received and not received.endswith(REQUEST_END)
+    assert len(received) < len(BODY) and host.ended == "reset"
+
+
+def accept_at_any_host(gateway):
+    """Return the number of the host that has a pending connection, and the connection."""
+    for number in range(len(gateway.hosts)):
+        if (host := gateway.accept_at_host(number)) is not None:
+            return number, host
+    raise AssertionError("no host has a connection")
+
+
+def send_retry(gateway, client):
+    """Send a keyed request that one host receives before it fails; return the other host's connection."""
+    client.send(gateway.request("mark", d=4000, more=KEY, body=(BODY,)))
+    gateway.run_loop()
+    number, first = accept_at_any_host(gateway)
+    receive_request(gateway, first)
+    first.close()  # The request may have run there.
+    gateway.run_loop()
+    second = gateway.accept_at_host(1 - number)
+    assert host_connection(gateway).state is gateway.undelivered_state
+    return second
+
+
+def test_a_retry_that_a_host_has_not_received_ends_with_its_idempotency_window(make_slow_fleet):
+    """Guards against a host that reads slowly and runs a retry after the first host's key is forgotten."""
+    gateway = make_slow_fleet(hosts=2)
+    client = gateway.client()
+    sent_at_ms = gateway.now_ms
+    second = send_retry(gateway, client)
+    gateway.pass_ms(sent_at_ms + WINDOW_MS - 1 - gateway.now_ms)
+    assert client.read() == b"" and host_connection(gateway) is not None
+    gateway.pass_ms(1)
+    assert client.read() == ERR and host_connection(gateway) is None
+    assert_cut_off(second)
+    assert gateway.state_machine.context.counts["undelivered"] == 1
+    undelivered = [figures for event, figures in gateway.log_events if event == "attempt undelivered"]
+    assert [figures["state"] for figures in undelivered] == [gateway.undelivered_state.value]
+    assert undelivered[0]["unacknowledged_bytes"] > 0
+
+
+def test_a_retry_that_a_host_has_received_in_time_may_be_answered_after_its_window(make_slow_fleet):
+    """Guards against ending each retry with its window, also one that the host began in time."""
+    gateway = make_slow_fleet(hosts=2)
+    client = gateway.client()
+    second = send_retry(gateway, client)
+    receive_request(gateway, second)
+    gateway.pass_ms(WINDOW_MS + 500)
+    assert client.read() == b"" and not second.ended
+    gateway.answer_from_host(second, client)
+    assert gateway.state_machine.context.counts["undelivered"] == 0
+
+
+def test_a_first_attempt_may_be_delivered_until_its_deadline(make_slow_fleet):
+    """Guards against applying the window to an attempt before which nothing ran."""
+    gateway = make_slow_fleet()
+    client = gateway.client()
+    client.send(gateway.request("mark", d=4000, more=KEY, body=(BODY,)))
+    host = gateway.accept_at_host()
+    gateway.pass_ms(WINDOW_MS + 500)
+    receive_request(gateway, host)
+    gateway.answer_from_host(host, client)
