An attempt that no one waits for ends unless the host's machine has the request

Cause: whether a request is still needed was checked before its first byte and not while it is delivered. A client that leaves, and an error reply at the end of a shutdown, behind malformed input or by the watchdog, left the attempt in flight, with its rest in the process or in the kernel.

Change: in these cases an attempt that the host's machine has not acknowledged in full (SIOCOUTQ) ends with its connection. A reset discards what the kernel holds. An attempt that the host has goes on as before.

--- a/granitedock/service/dispatcher.py
+++ b/granitedock/service/dispatcher.py
@@ -133,7 +133,7 @@
         self.clients.attach(self.replies, self.requests, self.lifecycle)
         self.replies.attach(self.clients, self.requests)
         self.commands.attach(self.clients, self.replies, self.requests, self.hosts, self.lifecycle)
-        self.requests.attach(self.clients, self.replies, self.lifecycle, self.policy)
+        self.requests.attach(self.clients, self.replies, self.lifecycle, self.hosts, self.policy)
         self.host_pool.attach(self.endpoints, self.lifecycle)
         self.hosts.attach(self.requests, self.policy_timers, self.policy)
         self.counter.attach(self.policy_timers, self.policy)
--- a/granitedock/service/host_connection.py
+++ b/granitedock/service/host_connection.py
@@ -40,6 +40,7 @@
     MALFORMED = "malformed"
     ABANDONED = "abandoned"  # The attempt is no longer needed when its request would be written.
     WINDOW_ENDED = "window ended"  # A retry is not delivered when its idempotency window ends.
+    NOT_NEEDED = "not needed"  # The attempt is not delivered when its request needs no answer any more.
     ASSIGNED = "assigned"  # An attempt reuses an idle connection.
     EXPIRED = "expired"  # The connection was idle for too long, makes room for another, or is not trusted.
 
@@ -62,6 +63,7 @@
     (_S.WRITING, _E.DEADLINE): (_S.CLOSED, "abort_unwritten"),
     (_S.WRITING, _E.CANCELLED): (_S.CLOSED, "abort_unwritten"),
     (_S.WRITING, _E.WINDOW_ENDED): (_S.CLOSED, "abort_unwritten"),
+    (_S.WRITING, _E.NOT_NEEDED): (_S.CLOSED, "abort_incomplete"),
     (_S.WRITING, _E.ABANDONED): (_S.CLOSED, "abort_abandoned"),  # No byte of the request was written.
     (_S.WAITING, _E.RESPONSE): (_S.IDLE, "return_to_pool"),
     (_S.WAITING, _E.EXCESS_DATA): (_S.CLOSED, "abort"),
@@ -69,6 +71,7 @@
     (_S.WAITING, _E.DISCONNECTED): (_S.CLOSED, "reset"),
     (_S.WAITING, _E.DEADLINE): (_S.CLOSED, "time_out"),
     (_S.WAITING, _E.WINDOW_ENDED): (_S.CLOSED, "time_out"),
+    (_S.WAITING, _E.NOT_NEEDED): (_S.CLOSED, "abort_undelivered"),
     (_S.WAITING, _E.CANCELLED): (_S.CLOSED, "cancel_waiting"),
     (_S.IDLE, _E.ASSIGNED): (_S.WRITING, "write_request"),
     (_S.IDLE, _E.RESPONSE): (_S.CLOSED, "drop_idle"),  # No request is in flight on it.
@@ -95,6 +98,7 @@
             _E.RESPONSE_STARTED,
             _E.MALFORMED,
             _E.WINDOW_ENDED,
+            _E.NOT_NEEDED,
         ],
     ),
     "an attempt is abandoned only when its request is about to be written": pairs(
@@ -108,7 +112,9 @@
     "only idle connections are assigned or expire": pairs(
         [_S.CONNECTING, _S.WRITING, _S.WAITING], [_E.ASSIGNED, _E.EXPIRED]
     ),
-    "an idle connection has no attempt": pairs([_S.IDLE], [_E.DEADLINE, _E.CANCELLED, _E.WINDOW_ENDED]),
+    "an idle connection has no attempt": pairs(
+        [_S.IDLE], [_E.DEADLINE, _E.CANCELLED, _E.WINDOW_ENDED, _E.NOT_NEEDED]
+    ),
 }
 
 
--- a/granitedock/service/host_connections.py
+++ b/granitedock/service/host_connections.py
@@ -236,18 +236,30 @@
             advance(HOST_CONNECTION, connection, HostConnectionEvent.DEADLINE, self)
             return
         self._schedule_deadline(connection, attempt, connection.attempt_deadline)
-        if connection.link is not None and self._is_undelivered(connection):
-            self._count_undelivered(connection)
-            advance(HOST_CONNECTION, connection, HostConnectionEvent.WINDOW_ENDED, self)
+        self._end_if_undelivered(connection, HostConnectionEvent.WINDOW_ENDED)
 
-    def _is_undelivered(self, connection: HostConnection) -> bool:
-        """Return whether the host's machine may lack a part of the request on an established connection.
+    def end_undelivered(self, attempt: Attempt) -> None:
+        """End an attempt that is not delivered, as its request is answered or its client has disconnected.
+
+        Prevents hosts that read slowly from beginning work long after its client has gone. A host that has
+        the request goes on, and its connection can be reused after the response.
+        """
+        connection = self.by_attempt.get(attempt)
+        if connection is not None:
+            self._end_if_undelivered(connection, HostConnectionEvent.NOT_NEEDED)
+
+    def _end_if_undelivered(self, connection: HostConnection, event: HostConnectionEvent) -> None:
+        """Apply the event if the host's machine may lack a part of the request on an established connection.
 
         The kernel takes a whole request long before a host that reads slowly has it.
         """
-        return connection.state is WRITING or connection.link.unacknowledged_bytes() != 0  # type: ignore[union-attr]
+        link = connection.link
+        if link is None or (connection.state is WAITING and link.unacknowledged_bytes() == 0):
+            return
+        self._count_undelivered(connection, link)
+        advance(HOST_CONNECTION, connection, event, self)
 
-    def _count_undelivered(self, connection: HostConnection) -> None:
+    def _count_undelivered(self, connection: HostConnection, link: HostLinkPort) -> None:
         request: InFlightRequest = connection.attempt.request  # type: ignore[assignment,union-attr]  # Set while in flight.
         self.context.counts[counter_names.UNDELIVERED] += 1
         self.context.event_log.event(
@@ -255,7 +267,7 @@
             host=connection.endpoint.address,
             id=request.parsed.id.decode(),
             state=connection.state.value,
-            unacknowledged_bytes=connection.link.unacknowledged_bytes(),  # type: ignore[union-attr]  # It is open.
+            unacknowledged_bytes=link.unacknowledged_bytes(),
         )
 
     # Effects of the table.
@@ -316,6 +328,16 @@
         self.abort(connection)
         self._end_attempt(connection, Outcome.CONNECTION_FAILED)
 
+    def abort_incomplete(self, connection: HostConnection) -> None:
+        """Abort a connection before the last byte of a request that is no longer needed."""
+        self.abort(connection)
+        self.abandon(connection)
+
+    def abort_undelivered(self, connection: HostConnection) -> None:
+        """Abort a connection whose request is written and not delivered; the request may have run."""
+        self.abort(connection)
+        self._end_attempt(connection, Outcome.TIMEOUT)
+
     def abort_as_reset(self, connection: HostConnection) -> None:
         """Abort a connection after an invalid response; the request may have run."""
         self.abort(connection)
--- a/granitedock/service/in_flight_requests.py
+++ b/granitedock/service/in_flight_requests.py
@@ -24,6 +24,7 @@
     from granitedock.service.client_connections import ClientConnection, ClientConnections
     from granitedock.service.client_protocol import ParsedRequest
     from granitedock.service.context import Context
+    from granitedock.service.host_connections import HostConnections
     from granitedock.service.lifecycle import Lifecycle
     from granitedock.service.reply_queues import ReplyQueues
     from granitedock.service.timers import Timer
@@ -54,6 +55,7 @@
     clients: ClientConnections
     replies: ReplyQueues
     lifecycle: Lifecycle
+    hosts: HostConnections
     policy: Gateway
 
     def __init__(
@@ -69,12 +71,18 @@
         self.reserved_bytes = 0
 
     def attach(
-        self, clients: ClientConnections, replies: ReplyQueues, lifecycle: Lifecycle, policy: Gateway
+        self,
+        clients: ClientConnections,
+        replies: ReplyQueues,
+        lifecycle: Lifecycle,
+        hosts: HostConnections,
+        policy: Gateway,
     ) -> None:
         """Set the state machines that this one calls."""
         self.clients = clients
         self.replies = replies
         self.lifecycle = lifecycle
+        self.hosts = hosts
         self.policy = policy
 
     def bytes_in_flight(self) -> int:
@@ -209,6 +217,7 @@
         self.context.counts[counter_names.CLIENT_GONE] += 1
         self.policy.client_disconnected(request)
         self._release(request)
+        self._end_undelivered_attempt(request)
 
     def abandon(self, request: InFlightRequest) -> None:
         """Fail a request whose client sent malformed input after it."""
@@ -228,6 +237,7 @@
         """Reply that the request failed; it may have run."""
         self.context.counts[counter_names.ERRORED] += 1
         self._finish(request, FAILED)
+        self._end_undelivered_attempt(request)
 
     def fail_all(self) -> None:
         """Fail each request in flight, because the process is about to exit."""
@@ -239,6 +249,11 @@
         self.context.counts[counter_names.DONE] += 1
         self._finish(request, answer)
 
+    def _end_undelivered_attempt(self, request: InFlightRequest) -> None:
+        """End the attempt that may still be in flight, unless the host has received it."""
+        if request.attempts:
+            self.hosts.end_undelivered(request.attempts[-1])
+
     def _finish(self, request: InFlightRequest, answer: bytes) -> None:
         client = request.client
         self._release(request)
--- a/tests/helpers/fake_gateway.py
+++ b/tests/helpers/fake_gateway.py
@@ -4,6 +4,7 @@
 state machine with its protocols on fake transports. Times are in ms.
 """
 
+import socket
 from collections import Counter
 
 from granitedock.policy.gateway import Gateway
@@ -173,6 +174,9 @@
 }
 
 
+SOCKET_WITHOUT_OUTPUT = socket.socket()
+
+
 class FakeTransport:
     """A transport that records the bytes written to it and how it is closed.
 
@@ -224,6 +228,10 @@
             raise BlockingIOError
         return self.unread[:1]
 
+    def fileno(self):
+        """Return the descriptor of a socket that has nothing to send: the peer receives all bytes at once."""
+        return SOCKET_WITHOUT_OUTPUT.fileno()
+
     def shutdown(self, _how):
         raise OSError
 
--- a/tests/service/test_undelivered_requests.py
+++ b/tests/service/test_undelivered_requests.py
@@ -9,6 +9,7 @@
 
 import pytest
 from fake_gateway import SETTINGS
+from loopback import VALUE
 
 from granitedock.service.host_connection import HostConnectionState
 from granitedock.service.host_protocol import HostProtocol
@@ -133,3 +134,74 @@
     gateway.pass_ms(WINDOW_MS + 500)
     receive_request(gateway, host)
     gateway.answer_from_host(host, client)
+
+
+# Requests that need no answer any more.
+
+
+def send_request(gateway, client, name):
+    """Send a long request that its host does not read; return the host's connection."""
+    client.send(gateway.request(name, d=4000, more=KEY, body=(BODY,)))
+    host = gateway.accept_at_host()
+    assert host_connection(gateway).state is gateway.undelivered_state
+    return host
+
+
+def assert_attempt_ended(gateway):
+    assert host_connection(gateway) is None and not gateway.state_machine.requests.in_flight
+    assert gateway.state_machine.context.counts["undelivered"] == 1
+
+
+@pytest.mark.parametrize("name", ["read", "mark", "once"])
+def test_a_request_that_a_host_has_not_received_ends_when_its_client_disconnects(make_slow_fleet, name):
+    """Guards against a host that reads slowly and begins the work up to 1.2 s after the client has gone."""
+    gateway = make_slow_fleet()
+    client = gateway.client()
+    host = send_request(gateway, client, name)
+    gateway.pass_ms(20)
+    client.close()
+    gateway.run_loop()
+    assert_cut_off(host)
+    assert_attempt_ended(gateway)
+    (endpoint,) = gateway.state_machine.endpoints.by_name.values()
+    assert not endpoint.health.failures  # The host is not to blame.
+
+
+def test_a_request_that_a_host_has_received_goes_on_when_its_client_disconnects(make_slow_fleet):
+    """Guards against a new connection to the host for each client that leaves."""
+    gateway = make_slow_fleet()
+    client = gateway.client()
+    host = send_request(gateway, client, "once")
+    receive_request(gateway, host)
+    client.close()
+    gateway.run_loop()
+    assert host.read() == b"" and not host.ended and host_connection(gateway) is not None
+    host.send(VALUE)
+    gateway.run_loop()
+    assert host_connection(gateway) is None and not host.ended
+    assert gateway.state_machine.context.counts["undelivered"] == 0
+
+
+def test_a_request_that_a_host_has_not_received_ends_when_it_fails_at_the_end_of_a_shutdown(make_slow_fleet):
+    """Guards against bytes that go on to a host after the final answer, also once the process has ended."""
+    gateway = make_slow_fleet()
+    client = gateway.client()
+    gateway.service.shut_down()
+    gateway.pass_ms(gateway.limits.open_ms - 20)
+    host = send_request(gateway, client, "once")
+    gateway.pass_ms(gateway.limits.leave_ms - gateway.limits.open_ms + 21)
+    assert client.read() == ERR
+    assert_cut_off(host)
+    assert_attempt_ended(gateway)
+
+
+def test_a_request_that_a_host_has_not_received_ends_when_malformed_input_follows_it(make_slow_fleet):
+    """Guards against bytes that go on to a host after the error reply, while the client stays connected."""
+    gateway = make_slow_fleet()
+    client = gateway.client()
+    host = send_request(gateway, client, "once")
+    client.send(b"no command\r\n")
+    gateway.pass_ms(gateway.limits.spoilt_ms + 200)
+    assert client.read().startswith(ERR)
+    assert_cut_off(host)
+    assert_attempt_ended(gateway)
