The kernel discards a request when the gateway that sent it has ended

Cause: at the end of a process the kernel closes its connections in order and first delivers what it holds. Evidence: SIGKILL to a gateway whose host had read 1 byte of 60,000; the host then received all of them and an end.

Change: SO_LINGER with 0 s on each connection to a host, so that any close resets it and discards the rest, as the protocol's page says of a process that dies. Aborts of the gateway were resets before. One system call for each new connection to a host.

Result: the new test with a real process fails without the change. Of the full test run 22 cases of tests/golden/test_golden_wire.py failed, since their stand-in for a socket had no setsockopt; it has one now, the recorded forms are as they were.

--- a/granitedock/service/host_protocol.py
+++ b/granitedock/service/host_protocol.py
@@ -19,7 +19,7 @@
 from granitedock.service.limits import Limits
 from granitedock.service.resp import ErrorReply, has_unread_input, join_parts
 from granitedock.service.resp_receiver import RespReceiver
-from granitedock.service.socket_queue import unacknowledged_bytes
+from granitedock.service.socket_queue import discard_on_close, unacknowledged_bytes
 
 # Each of the following is a `fullmatch` function, called as a predicate on the bytes of a reply.
 IS_OVERLOADED_ERROR = re.compile(rb"BUSY( [!-~]*)?").fullmatch
@@ -77,8 +77,12 @@
         self.response_started = False
 
     def connectionMade(self) -> None:
-        """Report the established connection."""
+        """Report the established connection.
+
+        Prevents a host that reads slowly from receiving a request after the process that sent it has ended.
+        """
         self.transport.setTcpNoDelay(True)
+        discard_on_close(self.transport)
         self.handle_input(Input.HOST_CONNECTED, self.record, self)
 
     def connectionLost(self, _reason: Failure | None = None) -> None:
--- a/tests/golden/test_golden_wire.py
+++ b/tests/golden/test_golden_wire.py
@@ -320,7 +320,7 @@
             def recv(size, flags):
                 raise BlockingIOError
 
-            return SimpleNamespace(recv=recv)
+            return SimpleNamespace(recv=recv, setsockopt=lambda *_option: None)
 
     return Transport()
 
--- a/tests/helpers/fake_gateway.py
+++ b/tests/helpers/fake_gateway.py
@@ -235,6 +235,9 @@
     def shutdown(self, _how):
         raise OSError
 
+    def setsockopt(self, *_option):
+        pass
+
     def take_written(self):
         """Return the bytes written since the last call."""
         data, self.written = self.written, b""
--- a/tests/service/test_process.py
+++ b/tests/service/test_process.py
@@ -13,10 +13,12 @@
 from socketserver import StreamRequestHandler, ThreadingTCPServer
 from threading import Thread
 
+import pytest
 from fake_gateway import SETTINGS
 
 from granitedock.service.resp import encode_bulk_string, encode_command
 
+COMMAND = [sys.executable, "-m", "granitedock"]
 VALUE = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
 
 
@@ -51,13 +53,14 @@
     return encode_command(b"API.WRITE", b"00000000000000a1", b"0123456789abcdef", text, body)
 
 
-def test_the_process_serves_follows_sighup_and_on_sigterm_answers_all_requests_and_exits_with_0(tmp_path):
-    entry = {"instanceId": "h", "hostPort": start_server(host_response), "lifecycle": "in_service"}
+def platform_file_with_host(host_address):
+    """Return a platform file whose discovery lists one host; its counter and discovery are started."""
+    entry = {"instanceId": "h", "hostPort": host_address, "lifecycle": "in_service"}
     listing = json.dumps({"generation": 2, "reset": True, "instances": [entry]}).encode() + b"\n"
     chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n" % (len(listing), listing)
     with socket.create_server(("127.0.0.1", 0)) as free:
         address = free.getsockname()
-    platform_file = {
+    return {
         "name": "g0",
         "listen": f"127.0.0.1:{address[1]}",
         "discovery": start_server(lambda _: chunked),
@@ -65,24 +68,66 @@
         "seed": "07",
         "settings": SETTINGS,
     }
+
+
+def start_gateway(path):
+    return subprocess.Popen([*COMMAND, "serve", "--told", str(path)], stderr=subprocess.PIPE)
+
+
+def connect_when_ready(platform_file):
+    """Return a client's socket, and its replies as a file, once the gateway has the endpoint list."""
+    host, _, port = platform_file["listen"].rpartition(":")
+    for _ in range(100):
+        try:
+            client = socket.create_connection((host, int(port)), timeout=5)
+            break
+        except ConnectionRefusedError:
+            time.sleep(0.1)
+    client.sendall(encode_command(b"PING"))
+    replies = client.makefile("rb")
+    assert replies.readline() == b"+PONG\r\n"
+    return client, replies
+
+
+def test_a_request_that_a_host_has_not_received_ends_with_the_process_that_sent_it(tmp_path):
+    """Guards against a kernel that delivers the request of a gateway that was killed long before."""
+    body = 60000 * b"b"
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)  # Far less than the request.
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        listener.settimeout(10)
+        platform_file = platform_file_with_host(f"127.0.0.1:{listener.getsockname()[1]}")
+        path = tmp_path / "told.json"
+        path.write_text(json.dumps(platform_file))
+        process = start_gateway(path)
+        try:
+            client, _ = connect_when_ready(platform_file)
+            client.sendall(request(body))
+            host = listener.accept()[0]
+            host.settimeout(10)
+            received = host.recv(1)  # The gateway's kernel takes the whole request in one write.
+        finally:
+            process.kill()
+            process.communicate()
+        with pytest.raises(ConnectionResetError):
+            while piece := host.recv(1 << 16):
+                received += piece
+        host.close()
+        assert not received.endswith(body + b"\r\n")
+
+
+def test_the_process_serves_follows_sighup_and_on_sigterm_answers_all_requests_and_exits_with_0(tmp_path):
+    platform_file = platform_file_with_host(start_server(host_response))
     path = tmp_path / "told.json"
     path.write_text(json.dumps(platform_file))
-    command = [sys.executable, "-m", "granitedock"]
-    process = subprocess.Popen([*command, "serve", "--told", str(path)], stderr=subprocess.PIPE)
+    process = start_gateway(path)
     try:
-        for _ in range(100):
-            try:
-                client = socket.create_connection(address, timeout=5)
-                break
-            except ConnectionRefusedError:
-                time.sleep(0.1)
-        client.sendall(encode_command(b"PING"))
-        replies = client.makefile("rb")
-        assert replies.readline() == b"+PONG\r\n"  # The endpoint list has arrived, so there is a host.
+        client, replies = connect_when_ready(platform_file)
         client.sendall(request(b"fast"))
         assert replies.read(len(VALUE)) == VALUE
         counters = subprocess.run(
-            [*command, "counters", platform_file["listen"]], capture_output=True, timeout=10
+            [*COMMAND, "counters", platform_file["listen"]], capture_output=True, timeout=10
         )
         assert b"done:1" in counters.stdout.split() and counters.returncode == 0
         calls = []
