A request that a draining host has not received ends with the grace

Cause: the host's state was checked before the first byte only.

Change: at the first list that shows a host out of service, requests that its machine has not acknowledged in full (SIOCOUTQ) have until 150 ms before the end of the grace (Safety.DrainGraceMs, by default 500 ms). What is undelivered then ends; one that never ran goes to another host.

--- a/granitedock/platform_file.py
+++ b/granitedock/platform_file.py
@@ -73,7 +73,9 @@
     ),
     *optional(BOOLEAN, "Cancel", "SecondCopies", "RetryAfter", "Probes", "MayTell"),
 ]
-SAFETY_RULES = optional(NON_NEGATIVE_NUMBER, "ColdFrom", "ColdMs", "OverloadFactor", "TipAfterMs")
+SAFETY_RULES = optional(
+    NON_NEGATIVE_NUMBER, "ColdFrom", "ColdMs", "DrainGraceMs", "OverloadFactor", "TipAfterMs"
+)
 SPECIFIC_RULES = [*optional(NON_NEGATIVE_NUMBER, "MaxUnits"), *optional(BOOLEAN, "Counter", "TruedUp")]
 
 
--- a/granitedock/service/dispatcher.py
+++ b/granitedock/service/dispatcher.py
@@ -241,6 +241,7 @@
     Input.HOST_MALFORMED: lambda gateway, connection, reason: gateway.hosts.malformed(connection, reason),
     Input.HOST_STALE: lambda gateway, connection: gateway.hosts.stale(connection),
     Input.ATTEMPT_DEADLINE: lambda gateway, *arguments: gateway.hosts.deadline_passed(*arguments),
+    Input.DRAIN_GRACE_OVER: lambda gateway, endpoint: gateway.hosts.drain_grace_over(endpoint),
     Input.COUNTER_CONNECTED: lambda gateway, connection, link: gateway.counter.connected(connection, link),
     Input.COUNTER_DISCONNECTED: lambda gateway, connection: gateway.counter.disconnected(connection),
     Input.COUNTER_REPLY_STARTED: lambda gateway, connection: gateway.counter.reply_started(connection),
--- a/granitedock/service/endpoints.py
+++ b/granitedock/service/endpoints.py
@@ -11,6 +11,7 @@
 from granitedock.policy.types import EndpointStatus, EndpointUpdate
 from granitedock.service import counter_names
 from granitedock.service.host_connection import Endpoint
+from granitedock.service.inputs import Input
 from granitedock.service.lifecycle import LifecycleEvent
 
 if TYPE_CHECKING:
@@ -88,9 +89,18 @@
             )
         self.policy.update_endpoints(updates, listing.complete)
         for name, endpoint in list(self.by_name.items()):
-            if endpoint.idle and endpoint.status is not EndpointStatus.READY:
-                self.hosts.close_idle(endpoint)
+            if endpoint.status is not EndpointStatus.READY:
+                self._drain(endpoint)
             if endpoint.status is EndpointStatus.GONE and not endpoint.health.in_flight:
                 del self.by_name[name]  # Bounds the memory, since new hosts have new names.
         if self.outlier_detector is not None:
             self.outlier_detector.update_hosts(self.by_name, self.context.now)
+
+    def _drain(self, endpoint: Endpoint) -> None:
+        """Close the idle connections, and bound the time for requests in flight to reach the host."""
+        context = self.context
+        if endpoint.idle:
+            self.hosts.close_idle(endpoint)
+        if self.hosts.undelivered_to(endpoint):
+            grace_over_at = context.now + context.limits.drain_delivery_ms
+            context.schedule(grace_over_at, Input.DRAIN_GRACE_OVER, endpoint)
--- a/granitedock/service/host_connection.py
+++ b/granitedock/service/host_connection.py
@@ -39,7 +39,7 @@
     RESPONSE_STARTED = "response started"
     MALFORMED = "malformed"
     ABANDONED = "abandoned"  # The attempt is no longer needed when its request would be written.
-    WINDOW_ENDED = "window ended"  # A retry is not delivered when its idempotency window ends.
+    OVERDUE = "overdue"  # Not delivered at the end of the idempotency window, or of the host's drain grace.
     NOT_NEEDED = "not needed"  # The attempt is not delivered when its request needs no answer any more.
     ASSIGNED = "assigned"  # An attempt reuses an idle connection.
     EXPIRED = "expired"  # The connection was idle for too long, makes room for another, or is not trusted.
@@ -62,7 +62,7 @@
     (_S.WRITING, _E.DISCONNECTED): (_S.CLOSED, "connection_failed"),
     (_S.WRITING, _E.DEADLINE): (_S.CLOSED, "abort_unwritten"),
     (_S.WRITING, _E.CANCELLED): (_S.CLOSED, "abort_unwritten"),
-    (_S.WRITING, _E.WINDOW_ENDED): (_S.CLOSED, "abort_unwritten"),
+    (_S.WRITING, _E.OVERDUE): (_S.CLOSED, "abort_unwritten"),
     (_S.WRITING, _E.NOT_NEEDED): (_S.CLOSED, "abort_incomplete"),
     (_S.WRITING, _E.ABANDONED): (_S.CLOSED, "abort_abandoned"),  # No byte of the request was written.
     (_S.WAITING, _E.RESPONSE): (_S.IDLE, "return_to_pool"),
@@ -70,7 +70,7 @@
     (_S.WAITING, _E.MALFORMED): (_S.CLOSED, "abort_as_reset"),
     (_S.WAITING, _E.DISCONNECTED): (_S.CLOSED, "reset"),
     (_S.WAITING, _E.DEADLINE): (_S.CLOSED, "time_out"),
-    (_S.WAITING, _E.WINDOW_ENDED): (_S.CLOSED, "time_out"),
+    (_S.WAITING, _E.OVERDUE): (_S.CLOSED, "time_out"),
     (_S.WAITING, _E.NOT_NEEDED): (_S.CLOSED, "abort_undelivered"),
     (_S.WAITING, _E.CANCELLED): (_S.CLOSED, "cancel_waiting"),
     (_S.IDLE, _E.ASSIGNED): (_S.WRITING, "write_request"),
@@ -97,7 +97,7 @@
             _E.EXCESS_DATA,
             _E.RESPONSE_STARTED,
             _E.MALFORMED,
-            _E.WINDOW_ENDED,
+            _E.OVERDUE,
             _E.NOT_NEEDED,
         ],
     ),
@@ -113,7 +113,7 @@
         [_S.CONNECTING, _S.WRITING, _S.WAITING], [_E.ASSIGNED, _E.EXPIRED]
     ),
     "an idle connection has no attempt": pairs(
-        [_S.IDLE], [_E.DEADLINE, _E.CANCELLED, _E.WINDOW_ENDED, _E.NOT_NEEDED]
+        [_S.IDLE], [_E.DEADLINE, _E.CANCELLED, _E.OVERDUE, _E.NOT_NEEDED]
     ),
 }
 
--- a/granitedock/service/host_connections.py
+++ b/granitedock/service/host_connections.py
@@ -236,7 +236,24 @@
             advance(HOST_CONNECTION, connection, HostConnectionEvent.DEADLINE, self)
             return
         self._schedule_deadline(connection, attempt, connection.attempt_deadline)
-        self._end_if_undelivered(connection, HostConnectionEvent.WINDOW_ENDED)
+        if self._is_undelivered(connection):
+            self._end_undelivered(connection, HostConnectionEvent.OVERDUE)
+
+    def drain_grace_over(self, endpoint: Endpoint) -> None:
+        """End the attempts that a host has not received although it has drained, or been gone, for the grace.
+
+        Prevents a request that was written in time from reaching a host that reads slowly, or a path that was
+        cut, long after. One that never ran goes to another host.
+        """
+        if endpoint.status is EndpointStatus.READY:
+            return
+        for connection in self.undelivered_to(endpoint):
+            self._end_undelivered(connection, HostConnectionEvent.OVERDUE)
+
+    def undelivered_to(self, endpoint: Endpoint) -> list[HostConnection]:
+        """Return the connections to this host of which the host may lack a part of the request."""
+        connections = (self.by_attempt.get(attempt) for attempt in endpoint.health.in_flight)
+        return [connection for connection in connections if connection and self._is_undelivered(connection)]
 
     def end_undelivered(self, attempt: Attempt) -> None:
         """End an attempt that is not delivered, as its request is answered or its client has disconnected.
@@ -245,21 +262,21 @@
         the request goes on, and its connection can be reused after the response.
         """
         connection = self.by_attempt.get(attempt)
-        if connection is not None:
-            self._end_if_undelivered(connection, HostConnectionEvent.NOT_NEEDED)
+        if connection is not None and self._is_undelivered(connection):
+            self._end_undelivered(connection, HostConnectionEvent.NOT_NEEDED)
 
-    def _end_if_undelivered(self, connection: HostConnection, event: HostConnectionEvent) -> None:
-        """Apply the event if the host's machine may lack a part of the request on an established connection.
+    @staticmethod
+    def _is_undelivered(connection: HostConnection) -> bool:
+        """Return whether a part of the request was written and the host's machine may lack another.
 
         The kernel takes a whole request long before a host that reads slowly has it.
         """
-        link = connection.link
-        if link is None or (connection.state is WAITING and link.unacknowledged_bytes() == 0):
-            return
-        self._count_undelivered(connection, link)
-        advance(HOST_CONNECTION, connection, event, self)
+        if connection.state is WAITING:
+            return connection.link.unacknowledged_bytes() != 0  # type: ignore[union-attr]  # It is open.
+        return connection.state is WRITING
 
-    def _count_undelivered(self, connection: HostConnection, link: HostLinkPort) -> None:
+    def _end_undelivered(self, connection: HostConnection, event: HostConnectionEvent) -> None:
+        """End an undelivered attempt by this event, and leave a trace of it."""
         request: InFlightRequest = connection.attempt.request  # type: ignore[assignment,union-attr]  # Set while in flight.
         self.context.counts[counter_names.UNDELIVERED] += 1
         self.context.event_log.event(
@@ -267,8 +284,9 @@
             host=connection.endpoint.address,
             id=request.parsed.id.decode(),
             state=connection.state.value,
-            unacknowledged_bytes=link.unacknowledged_bytes(),
+            unacknowledged_bytes=connection.link.unacknowledged_bytes(),  # type: ignore[union-attr]  # It is open.
         )
+        advance(HOST_CONNECTION, connection, event, self)
 
     # Effects of the table.
 
--- a/granitedock/service/inputs.py
+++ b/granitedock/service/inputs.py
@@ -41,6 +41,7 @@
     HOST_MALFORMED = "host malformed"
     HOST_STALE = "host stale"
     ATTEMPT_DEADLINE = "attempt deadline"
+    DRAIN_GRACE_OVER = "drain grace over"  # Requests in flight to a draining host must have reached it.
 
     COUNTER_CONNECTED = "counter connected"
     COUNTER_DISCONNECTED = "counter disconnected"
--- a/granitedock/service/limits.py
+++ b/granitedock/service/limits.py
@@ -21,6 +21,8 @@
 DEFAULT_MAX_UNITS = 1e9
 DEFAULT_CONNECT_MS = 250.0
 DEFAULT_HOST_IDLE_MS = 15000.0
+DEFAULT_DRAIN_GRACE_MS = 500.0
+HOLD_UP_MS = 150.0  # The process may be held up for this long between two looks at its clock.
 DEFAULT_MIN_BACKOFF_MS = 100.0
 DEFAULT_MAX_BACKOFF_MS = 1500.0
 DEFAULT_DEADLINE_MS = 3000.0  # Applies without request classes; a shutdown waits no longer for a request.
@@ -64,6 +66,8 @@
     wary_ms: float = 5000.0
     # A host connection is not reused sooner after a response, as more data may follow.
     settle_ms: float = 5.0
+    # After a host has started to drain or is gone, time for requests in flight to reach it.
+    drain_delivery_ms: float
     answer_ms: float = 250.0  # Timeout of an incomplete response, from its latest bytes.
     answer_most_ms: float = 2000.0  # Timeout of an incomplete response, from its first bytes.
     total_ms: float = 50.0  # Timeout of an incomplete counter reply, which is a single short value.
@@ -115,6 +119,8 @@
         max_requests = int(allowed.get("MostHeld") or DEFAULT_MAX_REQUESTS_IN_FLIGHT)
         longest_ms = max((float(lane["GiveUpMs"]) for lane in settings["Lanes"]), default=DEFAULT_DEADLINE_MS)
         shutdown_ms = min(longest_ms, DEFAULT_DEADLINE_MS)
+        safety = settings.get("Safety") or {}
+        drain_grace_ms = float(safety.get("DrainGraceMs", DEFAULT_DRAIN_GRACE_MS))
         return cls(
             held=int(max(memory_bytes / 32, (memory_bytes - PROCESS_BYTES) / 4)),
             requests=min(max_requests, int(memory_bytes / BYTES_PER_REQUEST)),
@@ -129,6 +135,7 @@
             true_units=units if specifics.get("TruedUp") else 0.0,
             connect_ms=connect_ms,
             host_idle_ms=float(allowed.get("ConnIdleMs") or DEFAULT_HOST_IDLE_MS) / 2,
+            drain_delivery_ms=max(drain_grace_ms / 2, drain_grace_ms - HOLD_UP_MS),
             watch_connect_ms=min(DEFAULT_CONNECT_MS, connect_ms),
             leave_ms=shutdown_ms + ANSWER_MARGIN_MS,
             leave_most_ms=shutdown_ms + EXIT_MARGIN_MS,
--- a/tests/service/test_undelivered_requests.py
+++ b/tests/service/test_undelivered_requests.py
@@ -13,6 +13,7 @@
 
 from granitedock.service.host_connection import HostConnectionState
 from granitedock.service.host_protocol import HostProtocol
+from granitedock.service.limits import HOLD_UP_MS
 
 WINDOW_MS = 1000.0
 # Attempts stay in flight for as long as clients wait.
@@ -205,3 +206,45 @@
     assert client.read().startswith(ERR)
     assert_cut_off(host)
     assert_attempt_ended(gateway)
+
+
+# Hosts that drain.
+
+
+@pytest.mark.parametrize("lifecycle", ["terminating", "terminated"])
+def test_a_request_that_a_host_has_not_received_ends_with_the_grace_of_its_drain(make_slow_fleet, lifecycle):
+    """Guards against a draining host that reads slowly and receives a request long after the grace."""
+    grace_ms = 700.0
+    gateway = make_slow_fleet(Safety=SETTINGS["Safety"] | {"DrainGraceMs": grace_ms})
+    client = gateway.client()
+    host = send_request(gateway, client, "once")
+    gateway.send_list(lifecycle=lifecycle)
+    gateway.pass_ms(grace_ms - HOLD_UP_MS - 1)
+    assert client.read() == b"" and host_connection(gateway) is not None
+    gateway.pass_ms(1)
+    # The request never ran if its last byte had not left the process.
+    assert client.read() == (
+        ERR if gateway.undelivered_state is HostConnectionState.WAITING else b"-BUSY\r\n"
+    )
+    assert_cut_off(host)
+    assert_attempt_ended(gateway)
+
+
+def test_a_request_goes_on_after_the_grace_at_a_host_that_has_received_it_or_is_in_service_again(
+    make_slow_fleet,
+):
+    """Guards against ending the work of a host that finishes what it has."""
+    for returns in (False, True):
+        gateway = make_slow_fleet(Safety=SETTINGS["Safety"] | {"DrainGraceMs": 700.0})
+        client = gateway.client()
+        host = send_request(gateway, client, "once")
+        gateway.send_list(lifecycle="terminating")
+        if returns:
+            gateway.send_list()
+        else:
+            receive_request(gateway, host)
+        gateway.pass_ms(1000.0)
+        assert client.read() == b""
+        if returns:
+            receive_request(gateway, host)
+        gateway.answer_from_host(host, client)
