--- a/granitedock/service/dispatcher.py
+++ b/granitedock/service/dispatcher.py
@@ -15,6 +15,7 @@
 from granitedock.service.client_connections import ClientConnections
 from granitedock.service.context import Context, Effect
 from granitedock.service.counter_connections import CounterConnections
+from granitedock.service.delivery_bounds import DeliveryBounds
 from granitedock.service.discovery_protocol import EndpointListUpdate
 from granitedock.service.discovery_watch import DiscoveryWatch, Watch
 from granitedock.service.endpoints import EndpointList
@@ -119,6 +120,7 @@
         )
         self.host_pool = HostConnectionPool(context)
         self.hosts = HostConnections(context, self.host_pool)
+        self.delivery_bounds = DeliveryBounds(context)
         self.counter = CounterConnections(context)
         self.endpoints = EndpointList(context)
         self.discovery = DiscoveryWatch(context, parameters.seed)
@@ -133,11 +135,12 @@
         self.clients.attach(self.replies, self.requests, self.lifecycle)
         self.replies.attach(self.clients, self.requests)
         self.commands.attach(self.clients, self.replies, self.requests, self.hosts, self.lifecycle)
-        self.requests.attach(self.clients, self.replies, self.lifecycle, self.hosts, self.policy)
+        self.requests.attach(self.clients, self.replies, self.lifecycle, self.delivery_bounds, self.policy)
         self.host_pool.attach(self.endpoints, self.lifecycle)
-        self.hosts.attach(self.requests, self.policy_timers, self.policy)
+        self.hosts.attach(self.requests, self.delivery_bounds, self.policy_timers, self.policy)
+        self.delivery_bounds.attach(self.hosts)
         self.counter.attach(self.policy_timers, self.policy)
-        self.endpoints.attach(self.hosts, self.lifecycle, self.discovery, self.policy)
+        self.endpoints.attach(self.hosts, self.delivery_bounds, self.lifecycle, self.discovery, self.policy)
         self.discovery.attach(self.lifecycle)
 
     def handle(
@@ -241,7 +244,7 @@
     Input.HOST_MALFORMED: lambda gateway, connection, reason: gateway.hosts.malformed(connection, reason),
     Input.HOST_STALE: lambda gateway, connection: gateway.hosts.stale(connection),
     Input.ATTEMPT_DEADLINE: lambda gateway, *arguments: gateway.hosts.deadline_passed(*arguments),
-    Input.DRAIN_GRACE_OVER: lambda gateway, endpoint: gateway.hosts.drain_grace_over(endpoint),
+    Input.DRAIN_GRACE_OVER: lambda gateway, endpoint: gateway.delivery_bounds.drain_grace_over(endpoint),
     Input.COUNTER_CONNECTED: lambda gateway, connection, link: gateway.counter.connected(connection, link),
     Input.COUNTER_DISCONNECTED: lambda gateway, connection: gateway.counter.disconnected(connection),
     Input.COUNTER_REPLY_STARTED: lambda gateway, connection: gateway.counter.reply_started(connection),
--- a/granitedock/service/endpoints.py
+++ b/granitedock/service/endpoints.py
@@ -11,12 +11,12 @@
 from granitedock.policy.types import EndpointStatus, EndpointUpdate
 from granitedock.service import counter_names
 from granitedock.service.host_connection import Endpoint
-from granitedock.service.inputs import Input
 from granitedock.service.lifecycle import LifecycleEvent
 
 if TYPE_CHECKING:
     from granitedock.policy.gateway import Gateway
     from granitedock.service.context import Context
+    from granitedock.service.delivery_bounds import DeliveryBounds
     from granitedock.service.discovery_protocol import EndpointListUpdate
     from granitedock.service.discovery_watch import DiscoveryWatch, Watch
     from granitedock.service.host_connections import HostConnections
@@ -36,6 +36,7 @@
     """The endpoints of one gateway."""
 
     hosts: HostConnections
+    delivery_bounds: DeliveryBounds
     lifecycle: Lifecycle
     watch: DiscoveryWatch
     policy: Gateway
@@ -46,10 +47,16 @@
         self.outlier_detector: EndpointListener | None = None
 
     def attach(
-        self, hosts: HostConnections, lifecycle: Lifecycle, watch: DiscoveryWatch, policy: Gateway
+        self,
+        hosts: HostConnections,
+        delivery_bounds: DeliveryBounds,
+        lifecycle: Lifecycle,
+        watch: DiscoveryWatch,
+        policy: Gateway,
     ) -> None:
         """Set the state machines that this one calls."""
         self.hosts = hosts
+        self.delivery_bounds = delivery_bounds
         self.lifecycle = lifecycle
         self.watch = watch
         self.policy = policy
@@ -90,17 +97,10 @@
         self.policy.update_endpoints(updates, listing.complete)
         for name, endpoint in list(self.by_name.items()):
             if endpoint.status is not EndpointStatus.READY:
-                self._drain(endpoint)
+                if endpoint.idle:
+                    self.hosts.close_idle(endpoint)
+                self.delivery_bounds.drain_started(endpoint)
             if endpoint.status is EndpointStatus.GONE and not endpoint.health.in_flight:
                 del self.by_name[name]  # Bounds the memory, since new hosts have new names.
         if self.outlier_detector is not None:
             self.outlier_detector.update_hosts(self.by_name, self.context.now)
-
-    def _drain(self, endpoint: Endpoint) -> None:
-        """Close the idle connections, and bound the time for requests in flight to reach the host."""
-        context = self.context
-        if endpoint.idle:
-            self.hosts.close_idle(endpoint)
-        if self.hosts.undelivered_to(endpoint):
-            grace_over_at = context.now + context.limits.drain_delivery_ms
-            context.schedule(grace_over_at, Input.DRAIN_GRACE_OVER, endpoint)
--- a/granitedock/service/host_connections.py
+++ b/granitedock/service/host_connections.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from granitedock.policy.gateway import Gateway
     from granitedock.service.context import Context
+    from granitedock.service.delivery_bounds import DeliveryBounds
     from granitedock.service.host_pool import HostConnectionPool
     from granitedock.service.in_flight_requests import InFlightRequest, InFlightRequests
     from granitedock.service.ports import HostLinkPort
@@ -42,6 +43,7 @@
     """The state machine of all connections to hosts of one gateway."""
 
     requests: InFlightRequests
+    delivery_bounds: DeliveryBounds
     policy_timers: PolicyTimers
     policy: Gateway
 
@@ -52,9 +54,16 @@
         self.open_count = 0  # Connections that are open or connecting.
         self.last_reuse_reset_at = float("-inf")  # When a reused connection was last reset during an attempt.
 
-    def attach(self, requests: InFlightRequests, policy_timers: PolicyTimers, policy: Gateway) -> None:
+    def attach(
+        self,
+        requests: InFlightRequests,
+        delivery_bounds: DeliveryBounds,
+        policy_timers: PolicyTimers,
+        policy: Gateway,
+    ) -> None:
         """Set the state machines that this one calls."""
         self.requests = requests
+        self.delivery_bounds = delivery_bounds
         self.policy_timers = policy_timers
         self.policy = policy
 
@@ -90,7 +99,7 @@
         connection = HostConnection(endpoint, HostConnectionState.CONNECTING, attempt, attempt_deadline)
         self._start_deadline(connection, attempt)
         if self.open_count >= context.limits.host_links and not self._free_capacity():
-            context.follow_up(self._signal, connection, HostConnectionEvent.NO_CAPACITY)
+            context.follow_up(self.signal, connection, HostConnectionEvent.NO_CAPACITY)
         else:
             self.open_count += 1
             context.counts[counter_names.HOST_DIALS] += 1
@@ -119,11 +128,12 @@
         connection = self.by_attempt.get(attempt)
         if connection is not None:
             self.context.counts[counter_names.WITHDRAWN] += 1
-            self.context.follow_up(self._signal, connection, HostConnectionEvent.CANCELLED)
+            self.context.follow_up(self.signal, connection, HostConnectionEvent.CANCELLED)
 
     # Inputs.
 
-    def _signal(self, connection: HostConnection, event: HostConnectionEvent) -> None:
+    def signal(self, connection: HostConnection, event: HostConnectionEvent) -> None:
+        """Apply an event, either of an input or raised by another state machine."""
         advance(HOST_CONNECTION, connection, event, self)
 
     def connected(self, connection: HostConnection, link: HostLinkPort) -> None:
@@ -227,8 +237,7 @@
     def deadline_passed(self, connection: HostConnection, attempt: Attempt) -> None:
         """Handle the end of a retry's idempotency window, or the deadline of an attempt.
 
-        That of an earlier attempt is ignored. Prevents hosts that read slowly from receiving a retry after
-        they have forgotten its key: what is not delivered by then ends with its connection.
+        That of an earlier attempt is ignored.
         """
         if connection.attempt is not attempt:
             return
@@ -236,57 +245,7 @@
             advance(HOST_CONNECTION, connection, HostConnectionEvent.DEADLINE, self)
             return
         self._schedule_deadline(connection, attempt, connection.attempt_deadline)
-        if self._is_undelivered(connection):
-            self._end_undelivered(connection, HostConnectionEvent.OVERDUE)
-
-    def drain_grace_over(self, endpoint: Endpoint) -> None:
-        """End the attempts that a host has not received although it has drained, or been gone, for the grace.
-
-        Prevents a request that was written in time from reaching a host that reads slowly, or a path that was
-        cut, long after. One that never ran goes to another host.
-        """
-        if endpoint.status is EndpointStatus.READY:
-            return
-        for connection in self.undelivered_to(endpoint):
-            self._end_undelivered(connection, HostConnectionEvent.OVERDUE)
-
-    def undelivered_to(self, endpoint: Endpoint) -> list[HostConnection]:
-        """Return the connections to this host of which the host may lack a part of the request."""
-        connections = (self.by_attempt.get(attempt) for attempt in endpoint.health.in_flight)
-        return [connection for connection in connections if connection and self._is_undelivered(connection)]
-
-    def end_undelivered(self, attempt: Attempt) -> None:
-        """End an attempt that is not delivered, as its request is answered or its client has disconnected.
-
-        Prevents hosts that read slowly from beginning work long after its client has gone. A host that has
-        the request goes on, and its connection can be reused after the response.
-        """
-        connection = self.by_attempt.get(attempt)
-        if connection is not None and self._is_undelivered(connection):
-            self._end_undelivered(connection, HostConnectionEvent.NOT_NEEDED)
-
-    @staticmethod
-    def _is_undelivered(connection: HostConnection) -> bool:
-        """Return whether a part of the request was written and the host's machine may lack another.
-
-        The kernel takes a whole request long before a host that reads slowly has it.
-        """
-        if connection.state is WAITING:
-            return connection.link.unacknowledged_bytes() != 0  # type: ignore[union-attr]  # It is open.
-        return connection.state is WRITING
-
-    def _end_undelivered(self, connection: HostConnection, event: HostConnectionEvent) -> None:
-        """End an undelivered attempt by this event, and leave a trace of it."""
-        request: InFlightRequest = connection.attempt.request  # type: ignore[assignment,union-attr]  # Set while in flight.
-        self.context.counts[counter_names.UNDELIVERED] += 1
-        self.context.event_log.event(
-            "attempt undelivered",
-            host=connection.endpoint.address,
-            id=request.parsed.id.decode(),
-            state=connection.state.value,
-            unacknowledged_bytes=connection.link.unacknowledged_bytes(),  # type: ignore[union-attr]  # It is open.
-        )
-        advance(HOST_CONNECTION, connection, event, self)
+        self.delivery_bounds.window_ended(connection)
 
     # Effects of the table.
 
--- a/granitedock/service/in_flight_requests.py
+++ b/granitedock/service/in_flight_requests.py
@@ -24,7 +24,7 @@
     from granitedock.service.client_connections import ClientConnection, ClientConnections
     from granitedock.service.client_protocol import ParsedRequest
     from granitedock.service.context import Context
-    from granitedock.service.host_connections import HostConnections
+    from granitedock.service.delivery_bounds import DeliveryBounds
     from granitedock.service.lifecycle import Lifecycle
     from granitedock.service.reply_queues import ReplyQueues
     from granitedock.service.timers import Timer
@@ -55,7 +55,7 @@
     clients: ClientConnections
     replies: ReplyQueues
     lifecycle: Lifecycle
-    hosts: HostConnections
+    delivery_bounds: DeliveryBounds
     policy: Gateway
 
     def __init__(
@@ -75,14 +75,14 @@
         clients: ClientConnections,
         replies: ReplyQueues,
         lifecycle: Lifecycle,
-        hosts: HostConnections,
+        delivery_bounds: DeliveryBounds,
         policy: Gateway,
     ) -> None:
         """Set the state machines that this one calls."""
         self.clients = clients
         self.replies = replies
         self.lifecycle = lifecycle
-        self.hosts = hosts
+        self.delivery_bounds = delivery_bounds
         self.policy = policy
 
     def bytes_in_flight(self) -> int:
@@ -252,7 +252,7 @@
     def _end_undelivered_attempt(self, request: InFlightRequest) -> None:
         """End the attempt that may still be in flight, unless the host has received it."""
         if request.attempts:
-            self.hosts.end_undelivered(request.attempts[-1])
+            self.delivery_bounds.not_needed(request.attempts[-1])
 
     def _finish(self, request: InFlightRequest, answer: bytes) -> None:
         client = request.client
