An undelivered attempt without a client is no evidence about its host

An attempt that ended because its client had left counted as a time-out if its last byte had left the process. The policy passes over early time-outs, the outlier detector does not: clients that leave a moment after their requests would have spoken against hosts that do nothing wrong.

Such an attempt ends as abandoned now. The request is over, so that no retry depends on whether it may have run.

--- a/granitedock/service/host_connection.py
+++ b/granitedock/service/host_connection.py
@@ -63,7 +63,7 @@
     (_S.WRITING, _E.DEADLINE): (_S.CLOSED, "abort_unwritten"),
     (_S.WRITING, _E.CANCELLED): (_S.CLOSED, "abort_unwritten"),
     (_S.WRITING, _E.OVERDUE): (_S.CLOSED, "abort_unwritten"),
-    (_S.WRITING, _E.NOT_NEEDED): (_S.CLOSED, "abort_incomplete"),
+    (_S.WRITING, _E.NOT_NEEDED): (_S.CLOSED, "abort_not_needed"),
     (_S.WRITING, _E.ABANDONED): (_S.CLOSED, "abort_abandoned"),  # No byte of the request was written.
     (_S.WAITING, _E.RESPONSE): (_S.IDLE, "return_to_pool"),
     (_S.WAITING, _E.EXCESS_DATA): (_S.CLOSED, "abort"),
@@ -71,7 +71,7 @@
     (_S.WAITING, _E.DISCONNECTED): (_S.CLOSED, "reset"),
     (_S.WAITING, _E.DEADLINE): (_S.CLOSED, "time_out"),
     (_S.WAITING, _E.OVERDUE): (_S.CLOSED, "time_out"),
-    (_S.WAITING, _E.NOT_NEEDED): (_S.CLOSED, "abort_undelivered"),
+    (_S.WAITING, _E.NOT_NEEDED): (_S.CLOSED, "abort_not_needed"),
     (_S.WAITING, _E.CANCELLED): (_S.CLOSED, "cancel_waiting"),
     (_S.IDLE, _E.ASSIGNED): (_S.WRITING, "write_request"),
     (_S.IDLE, _E.RESPONSE): (_S.CLOSED, "drop_idle"),  # No request is in flight on it.
--- a/granitedock/service/host_connections.py
+++ b/granitedock/service/host_connections.py
@@ -305,15 +305,14 @@
         self.abort(connection)
         self._end_attempt(connection, Outcome.CONNECTION_FAILED)
 
-    def abort_incomplete(self, connection: HostConnection) -> None:
-        """Abort a connection before the last byte of a request that is no longer needed."""
-        self.abort(connection)
-        self.abandon(connection)
+    def abort_not_needed(self, connection: HostConnection) -> None:
+        """Abort a connection whose request is not delivered and needs no answer any more.
 
-    def abort_undelivered(self, connection: HostConnection) -> None:
-        """Abort a connection whose request is written and not delivered; the request may have run."""
+        This is no evidence about the host. A request whose last byte had left the process may have run, but
+        no decision follows for it.
+        """
         self.abort(connection)
-        self._end_attempt(connection, Outcome.TIMEOUT)
+        self.abandon(connection)
 
     def abort_as_reset(self, connection: HostConnection) -> None:
         """Abort a connection after an invalid response; the request may have run."""
--- a/tests/service/test_undelivered_requests.py
+++ b/tests/service/test_undelivered_requests.py
@@ -164,8 +164,10 @@
     gateway.run_loop()
     assert_cut_off(host)
     assert_attempt_ended(gateway)
+    # That a client left says nothing about the host.
+    assert gateway.state_machine.context.counts["forward_timeout"] == 0
     (endpoint,) = gateway.state_machine.endpoints.by_name.values()
-    assert not endpoint.health.failures  # The host is not to blame.
+    assert not endpoint.health.failures
 
 
 def test_a_request_that_a_host_has_received_goes_on_when_its_client_disconnects(make_slow_fleet):
