Laboratory: a killed process may accept connections until its last socket closes

Nothing was lost by a running gateway.

Cause, by a trace of the load generator's connections (trial: 800 requests a second, two of four gateways killed 30 times): SIGKILL at 9.847 s, a client's connection lost at 9.852, its new one accepted at 9.852 and reset at 9.853, the process ended at 9.856. The kernel closes the sockets of a killed process one after the other, the listening one among the last. The generator excused a refused connection only, and took the reset for a fault.

Change: a request sent again asks for no answer if its connection was begun before a killed process had ended; the cluster records the time from SIGKILL to the end. Connections that a running gateway closes, exits after SIGTERM and answers after their time are reported as before.

--- a/granitedock/lab/cluster/gateway_process.py
+++ b/granitedock/lab/cluster/gateway_process.py
@@ -12,7 +12,7 @@
 
 import orjson
 
-from granitedock.lab.load.generator import Pause
+from granitedock.lab.load.generator import Interval
 
 STOP_TIMEOUT_S = 10.0
 
@@ -35,7 +35,8 @@
         self.process: subprocess.Popen[bytes] | None = None
         self.starts = 0
         self.paused = False
-        self.pauses: list[Pause] = []
+        self.pauses: list[Interval] = []
+        self.kills: list[Interval] = []  # From SIGKILL to the end of the process.
 
     def is_running(self) -> bool:
         """Return whether the process has started and not ended; a paused process counts as running."""
@@ -69,12 +70,14 @@
     def signal(self, number: int) -> None:
         """Send a signal, if the process is running."""
         if self.process is not None and self.is_running():
+            if number == signal.SIGKILL:
+                self.kills.append(Interval(time.monotonic(), inf))
             self.process.send_signal(number)
 
     def pause(self) -> None:
         """Pause the process by SIGSTOP."""
         self.paused = True
-        self.pauses.append(Pause(time.monotonic(), inf))
+        self.pauses.append(Interval(time.monotonic(), inf))
         self.signal(signal.SIGSTOP)
 
     def resume(self) -> None:
@@ -94,10 +97,14 @@
             self.signal(signal.SIGCONT)
         self.signal(number)
         try:
-            return self.process.wait(within_s)
+            exit_code = self.process.wait(within_s)
         except subprocess.TimeoutExpired:
             self.process.kill()
-            return self.process.wait()
+            exit_code = self.process.wait()
+        ended_s = time.monotonic()
+        for kill in self.kills:
+            kill.ended_s = min(kill.ended_s, ended_s)
+        return exit_code
 
     def events(self) -> list[dict[str, Any]]:
         """Return the events of the logs of all starts, each with the number of its `start`.
--- a/granitedock/lab/load/client_connection.py
+++ b/granitedock/lab/load/client_connection.py
@@ -46,18 +46,25 @@
     def connect(self, gateway: int, resend: list[PendingRequest] | None = None) -> None:
         """Open a further connection to a gateway, and send the requests in `resend` on it first."""
 
+    def was_killed(self, gateway: int, since_s: float) -> bool:
+        """Return whether a killed process of this gateway had not ended at `since_s` (monotonic clock)."""
+
     def reconnect_later(self, gateway: int) -> None:
         """Connect again after a short delay, unless there is a connection by then."""
 
 
 class ClientConnection(RespConnection):
-    """One connection to a gateway, on which answers arrive in the order of the requests."""
+    """One connection to a gateway, on which answers arrive in the order of the requests.
+
+    `began_s` is when the generator began to connect, on the monotonic clock.
+    """
 
-    def __init__(self, load: Load, gateway: int, resend: list[PendingRequest]) -> None:
+    def __init__(self, load: Load, gateway: int, resend: list[PendingRequest], began_s: float) -> None:
         super().__init__()
         self.load = load
         self.gateway = gateway
         self.resend = resend
+        self.began_s = began_s
         self.pending: deque[PendingRequest] = deque()
 
     def connectionMade(self) -> None:
@@ -95,6 +102,8 @@
         """Send the unanswered requests again at once, one time each, on a new connection.
 
         Clients do the same, as a request may have been in flight while the gateway closed an idle connection.
+        The kernel of a killed process may close its listening socket last: until then it accepts the new
+        connection and resets it, as it would have refused it a moment later.
         """
         connections = self.load.connections[self.gateway]
         connections.remove(self)
@@ -105,6 +114,7 @@
             record = pending.record
             if pending.resent or (self.load.now_s() - record.sent_at_s) * 1000.0 > record.deadline_ms:
                 record.outcome = RequestOutcome.LOST
+                record.gateway_ended = pending.resent and self.load.was_killed(self.gateway, self.began_s)
             else:
                 resend.append(PendingRequest(record, pending.clients, resent=True))
         if resend:
@@ -118,14 +128,15 @@
 
     noisy = False
 
-    def __init__(self, load: Load, gateway: int, resend: list[PendingRequest]) -> None:
+    def __init__(self, load: Load, gateway: int, resend: list[PendingRequest], began_s: float) -> None:
         self.load = load
         self.gateway = gateway
         self.resend = resend
+        self.began_s = began_s
 
     def buildProtocol(self, addr: IAddress | None) -> ClientConnection:  # noqa: ARG002  Twisted's signature
         """Return the protocol of a connection that the gateway accepted."""
-        return ClientConnection(self.load, self.gateway, self.resend)
+        return ClientConnection(self.load, self.gateway, self.resend, self.began_s)
 
     def clientConnectionFailed(self, connector: IConnector, reason: Failure) -> None:  # noqa: ARG002  Twisted's signature
         """Mark the requests to be sent again as lost, as the gateway cannot be reached."""
--- a/granitedock/lab/load/generator.py
+++ b/granitedock/lab/load/generator.py
@@ -29,8 +29,8 @@
 
 
 @dataclass(slots=True)
-class Pause:
-    """The interval in which a gateway was stopped by SIGSTOP, on the monotonic clock."""
+class Interval:
+    """An interval on the monotonic clock; `ended_s` is infinite while it lasts."""
 
     began_s: float
     ended_s: float
@@ -55,12 +55,18 @@
         scenario: Scenario,
         addresses: list[str],
         count_running: Callable[[], int] | None = None,
-        pauses_of: Callable[[int], list[Pause]] = lambda _: [],
+        pauses_of: Callable[[int], list[Interval]] = lambda _: [],
+        kills_of: Callable[[int], list[Interval]] = lambda _: [],
     ) -> None:
-        """`count_running` returns how many gateways run now (default: all), `pauses_of` the pauses of one."""
+        """`count_running` returns how many gateways run now; all by default.
+
+        `pauses_of` returns when a gateway was stopped by SIGSTOP, and `kills_of` the intervals from each
+        SIGKILL of a gateway to the end of its process.
+        """
         self.scenario = scenario
         self.addresses = addresses
         self.pauses_of = pauses_of
+        self.kills_of = kills_of
         self.count_running = count_running or (lambda: len(addresses))
         self.began_s = time.monotonic()
         self.running = False
@@ -150,9 +156,13 @@
         """Open a further connection to a gateway, and send the requests in `resend` on it first."""
         self.connecting[gateway] += 1
         host, _, port = self.addresses[gateway].rpartition(":")
-        connector = GatewayConnector(self, gateway, resend or [])
+        connector = GatewayConnector(self, gateway, resend or [], time.monotonic())
         REACTOR.connectTCP(host, int(port), connector, timeout=CONNECT_TIMEOUT_S)
 
+    def was_killed(self, gateway: int, since_s: float) -> bool:
+        """Return whether a killed process of this gateway had not ended at `since_s` (monotonic clock)."""
+        return any(kill.ended_s >= since_s for kill in self.kills_of(gateway))
+
     def reconnect_later(self, gateway: int) -> None:
         """Connect again after a short delay, unless there is a connection by then."""
 
--- a/granitedock/lab/load/request_record.py
+++ b/granitedock/lab/load/request_record.py
@@ -17,7 +17,7 @@
     `sent_at_s` counts from the start of the load, `deadline_ms` and `latency_ms` from the sending. `gateway`
     is the gateway that the request was sent to, or NO_GATEWAY if none was up. `request_id` is unique within
     the load. `gateway_ended` is set if no gateway was up, or if the connection ended and the gateway could
-    not be reached to send the request again, so that no answer is required.
+    not be reached to send the request again, or was being killed then, so that no answer is required.
     """
 
     sent_at_s: float
--- a/granitedock/lab/load/verification.py
+++ b/granitedock/lab/load/verification.py
@@ -9,7 +9,7 @@
 from granitedock.lab.cluster.network import CLIENTS_PORT
 from granitedock.lab.fault_targets import Party
 from granitedock.lab.gateway_settings import IDEMPOTENCY_WINDOW_MS, REQUEST_CLASSES, SLOW_START
-from granitedock.lab.load.generator import LoadGenerator, Pause
+from granitedock.lab.load.generator import Interval, LoadGenerator
 from granitedock.lab.load.observations import (
     Ceiling,
     ClientRequest,
@@ -33,6 +33,7 @@
         [f"{cluster.gateway_host(gateway)}:{CLIENTS_PORT}" for gateway in range(cluster.count)],
         lambda: sum(gateway.is_running() for gateway in cluster.gateways),
         lambda gateway: cluster.gateways[gateway].pauses,
+        lambda gateway: cluster.gateways[gateway].kills,
     )
 
 
@@ -47,7 +48,7 @@
     return rule_violations(on_reactor(cluster_observations, load, cluster))
 
 
-def paused_seconds(pauses: list[Pause], from_s: float, to_s: float) -> float:
+def paused_seconds(pauses: list[Interval], from_s: float, to_s: float) -> float:
     """Return how long a process was stopped between `from_s` and `to_s`."""
     return sum(max(0.0, min(to_s, pause.ended_s) - max(from_s, pause.began_s)) for pause in pauses)
 
--- a/tests/lab/test_rule_checks.py
+++ b/tests/lab/test_rule_checks.py
@@ -8,13 +8,14 @@
 import threading
 import time
 from contextlib import contextmanager, suppress
+from math import inf
 
 from load_cleanup import load_stopped_at_exit
 from pytest import mark, raises
 
 from granitedock.lab.cluster.cluster import GatewayCluster
 from granitedock.lab.faults.host_faults import ReplyKind
-from granitedock.lab.load.generator import LoadGenerator
+from granitedock.lab.load.generator import Interval, LoadGenerator
 from granitedock.lab.load.observations import (
     Ceiling,
     ClientRequest,
@@ -210,6 +211,46 @@
         assert (reported == []) if not expected else any(expected in line for line in reported), reported
 
 
+@contextmanager
+def closing_gateway():
+    """Run a gateway that closes each connection at its first request, and yield its address."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+
+        def serve():
+            with suppress(OSError):  # The server is shut down at the end.
+                while True:
+                    connection, _ = server.accept()
+                    with connection:
+                        connection.recv(1)
+
+        thread = threading.Thread(target=serve)
+        thread.start()
+        try:
+            yield f"127.0.0.1:{server.getsockname()[1]}"
+        finally:
+            server.shutdown(socket.SHUT_RDWR)
+            thread.join()
+
+
+@mark.parametrize(
+    ("kills", "reported"),
+    [
+        ([Interval(0.0, inf)], False),
+        ([Interval(0.0, 1.0)], True),
+        ([], True),
+    ],
+    ids=["a killed process has not ended", "it has ended before", "none was killed"],
+)
+def test_requests_are_lost_unless_a_killed_process_closes_their_connections(kills, reported):
+    """Guards against false reports: a killed process may accept connections until its last socket closes."""
+    with closing_gateway() as address:
+        load = LoadGenerator(parse(ONE_GATEWAY_SCENARIO), [address], kills_of=lambda gateway: kills)
+        load.run(0.5)
+        lost = [record for record in load.records if record.outcome == "lost" and record.gateway == 0]
+        assert lost
+        assert len(violations(load)) == (len(lost) if reported else 0)
+
+
 def test_load_that_a_failed_test_left_running_is_stopped():
     """Guards against requests of a failed test that disturb the tests after it in the same process."""
     with emulated_gateway(lambda _: (b"$2\r\nok\r\n", 0)) as address:
