A long request tells its host at most half of its client's time, the rest is for delivery

What hosts saw: one that takes 1.3 s to read a long request was told up to 1.3 s more than its client had left ("at most what is left to the client, with 0.15 s of slack"), and worked for a client that no longer waited.

Change: of a request over one segment (1,400 bytes) at most half of the client's time is told, and an attempt that the host's machine has not acknowledged when the other half is over ends.

In the tests of undelivered requests clients of the shutdown's test now wait 8 s instead of 4: with 4 the request would end by the new bound before the shutdown's last answers, which are what it checks; its checks are as before.

--- a/granitedock/service/delivery_bounds.py
+++ b/granitedock/service/delivery_bounds.py
@@ -33,10 +33,11 @@
         """Set the state machine that this one calls."""
         self.hosts = hosts
 
-    def window_ended(self, connection: HostConnection) -> None:
-        """End a retry that is not delivered when the idempotency window of its request ends.
+    def delivery_overdue(self, connection: HostConnection) -> None:
+        """End an attempt that is not delivered by its `deliver_before`.
 
-        Prevents a host that reads slowly from receiving it after the hosts have forgotten the key.
+        Prevents a host that reads slowly from receiving a retry after the hosts have forgotten its key, and
+        from working on a long request for longer than its client waits.
         """
         if is_undelivered(connection):
             self._end(connection, HostConnectionEvent.OVERDUE)
--- a/granitedock/service/host_connection.py
+++ b/granitedock/service/host_connection.py
@@ -39,7 +39,7 @@
     RESPONSE_STARTED = "response started"
     MALFORMED = "malformed"
     ABANDONED = "abandoned"  # The attempt is no longer needed when its request would be written.
-    OVERDUE = "overdue"  # Not delivered at the end of the idempotency window, or of the host's drain grace.
+    OVERDUE = "overdue"  # Not delivered by the attempt's `deliver_before`, or in the host's drain grace.
     NOT_NEEDED = "not needed"  # The attempt is not delivered when its request needs no answer any more.
     ASSIGNED = "assigned"  # An attempt reuses an idle connection.
     EXPIRED = "expired"  # The connection was idle for too long, makes room for another, or is not trusted.
--- a/granitedock/service/host_connections.py
+++ b/granitedock/service/host_connections.py
@@ -8,6 +8,7 @@
 
 from typing import TYPE_CHECKING
 
+from granitedock.policy.delivery_time import SHORT_REQUEST_BYTES, deliver_before, told_time_ms
 from granitedock.policy.types import Attempt, EndpointStatus, Idempotency, Outcome
 from granitedock.service import counter_names
 from granitedock.service.host_connection import (
@@ -112,6 +113,14 @@
     def _schedule_deadline(self, connection: HostConnection, attempt: Attempt, due: float) -> None:
         connection.deadline_timer = self.context.schedule(due, ATTEMPT_DEADLINE, connection, attempt)
 
+    def _bound_delivery(self, connection: HostConnection, attempt: Attempt, due: float) -> None:
+        """Have an attempt end at `due` (Unix ms) if it is not delivered by then."""
+        if due >= min(attempt.deliver_before, connection.attempt_deadline):
+            return
+        attempt.deliver_before = due
+        connection.deadline_timer.cancel()  # type: ignore[union-attr]  # Each attempt has a timer.
+        self._schedule_deadline(connection, attempt, due)
+
     def _free_capacity(self) -> bool:
         """Close an idle connection to make room for a new one, and return whether there was one.
 
@@ -235,7 +244,7 @@
             )
 
     def deadline_passed(self, connection: HostConnection, attempt: Attempt) -> None:
-        """Handle the end of a retry's idempotency window, or the deadline of an attempt.
+        """Handle the time by which an attempt must be delivered, or its deadline.
 
         That of an earlier attempt is ignored.
         """
@@ -245,7 +254,7 @@
             advance(HOST_CONNECTION, connection, HostConnectionEvent.DEADLINE, self)
             return
         self._schedule_deadline(connection, attempt, connection.attempt_deadline)
-        self.delivery_bounds.window_ended(connection)
+        self.delivery_bounds.delivery_overdue(connection)
 
     # Effects of the table.
 
@@ -265,7 +274,11 @@
             or context.now >= attempt.deliver_before
         ):
             return HostConnectionEvent.ABANDONED
-        data = request.parsed.encode(connection.attempt_deadline - context.now)
+        time_left_ms = connection.attempt_deadline - context.now
+        if request.parsed.size() > SHORT_REQUEST_BYTES:
+            time_left_ms = told_time_ms(request, connection.attempt_deadline, context.now)
+            self._bound_delivery(connection, attempt, deliver_before(request, time_left_ms))
+        data = request.parsed.encode(time_left_ms)
         context.emit(connection.link.send, data, len(request.attempts) == 1)  # type: ignore[union-attr]  # It is open.
         return None
 
--- a/tests/service/test_undelivered_requests.py
+++ b/tests/service/test_undelivered_requests.py
@@ -4,6 +4,7 @@
 it: the kernel takes a whole request at once and delivers it for as long as the host takes to read.
 """
 
+import re
 import socket
 import time
 
@@ -11,13 +12,17 @@
 from fake_gateway import SETTINGS
 from loopback import VALUE
 
+from granitedock.policy.delivery_time import WORK_SHARE
 from granitedock.service.host_connection import HostConnectionState
 from granitedock.service.host_protocol import HostProtocol
 from granitedock.service.limits import HOLD_UP_MS
 
 WINDOW_MS = 1000.0
-# Attempts stay in flight for as long as clients wait.
-LANES = [lane | {"TargetMs": 4000, "WindowMs": WINDOW_MS, "DedupScope": "all"} for lane in SETTINGS["Lanes"]]
+# Attempts stay in flight for as long as most clients here wait.
+LANES = [
+    lane | {"TargetMs": 4000, "GiveUpMs": 8000, "WindowMs": WINDOW_MS, "DedupScope": "all"}
+    for lane in SETTINGS["Lanes"]
+]
 KEY = b",k=00000000000000b1"
 BODY = 60000 * b"b"
 REQUEST_END = BODY + b"\r\n"
@@ -137,12 +142,64 @@
     gateway.answer_from_host(host, client)
 
 
+# The time that a host is told, which counts from the last byte that it gets.
+
+
+def told_ms(received):
+    """Return the time left that the first bytes of a request tell its host."""
+    return int(re.search(rb"\bd=(\d+)", received)[1])
+
+
+@pytest.mark.parametrize("name", ["read", "mark", "once"])
+def test_a_request_that_a_host_receives_late_ends_when_it_was_told_all_that_its_client_has_left(
+    make_slow_fleet, name
+):
+    """Guards against a host that reads slowly and works for a client that no longer waits."""
+    gateway = make_slow_fleet()
+    client = gateway.client()
+    sent_at_ms = gateway.now_ms
+    host = send_request(gateway, client, name)
+    deadline_ms = sent_at_ms + 4000 - gateway.limits.margin_ms
+    deliver_before_ms = deadline_ms - (deadline_ms - sent_at_ms) * WORK_SHARE
+    gateway.pass_ms(deliver_before_ms - 1 - gateway.now_ms)
+    attempt = host_connection(gateway).attempt
+    assert client.read() == b"" and not host.ended
+    gateway.pass_ms(1)
+    # One that never ran is sent again.
+    assert attempt not in gateway.state_machine.hosts.by_attempt
+    received = host.read()
+    assert host.ended == "reset" and not received.endswith(REQUEST_END)
+    assert 0 < told_ms(received) <= deadline_ms - deliver_before_ms
+
+
+def test_a_long_request_that_a_host_has_received_in_time_is_awaited_until_its_deadline(make_slow_fleet):
+    """Guards against ending the work of a host that has the request when its time for delivery is over."""
+    gateway = make_slow_fleet()
+    client = gateway.client()
+    host = send_request(gateway, client, "once")
+    gateway.pass_ms(1500)
+    receive_request(gateway, host)
+    gateway.pass_ms(2000)
+    assert client.read() == b"" and not host.ended
+    gateway.answer_from_host(host, client)
+    assert gateway.state_machine.context.counts["undelivered"] == 0
+
+
+def test_a_host_is_told_all_that_is_left_for_a_short_request(make_gateway):
+    """Guards against less time for each request, as short ones arrive as a whole."""
+    gateway = make_gateway(lanes=LANES)
+    client = gateway.client()
+    client.send(gateway.request("read", d=4000, body=(b"short",)))
+    host = gateway.accept_at_host()
+    assert told_ms(host.read()) == 4000 - gateway.limits.margin_ms
+
+
 # Requests that need no answer any more.
 
 
-def send_request(gateway, client, name):
+def send_request(gateway, client, name, time_left_ms=4000):
     """Send a long request that its host does not read; return the host's connection."""
-    client.send(gateway.request(name, d=4000, more=KEY, body=(BODY,)))
+    client.send(gateway.request(name, d=time_left_ms, more=KEY, body=(BODY,)))
     host = gateway.accept_at_host()
     assert host_connection(gateway).state is gateway.undelivered_state
     return host
@@ -191,7 +248,9 @@
     client = gateway.client()
     gateway.service.shut_down()
     gateway.pass_ms(gateway.limits.open_ms - 20)
-    host = send_request(gateway, client, "once")
+    host = send_request(
+        gateway, client, "once", time_left_ms=8000
+    )  # It may be delivered until after the end.
     gateway.pass_ms(gateway.limits.leave_ms - gateway.limits.open_ms + 21)
     assert client.read() == ERR
     assert_cut_off(host)
