A hard ceiling keeps the room of units that have not reached their host yet

Evidence, on sockets, with hosts enough that only the ceiling refuses: burst 10, rate 10 a second; ten requests granted, the eleventh refused; 1 s later ten more granted while none of the first had arrived. The same with the rest in the kernel, in the process, and with connections that are not up.

Change: the bucket fills up to its depth less the units in delivery, so that what arrives in any interval is at most depth and rate times interval. Units are in delivery from a new connection, or from a long request's first byte, until a short request is written or the attempt has ended.

--- a/granitedock/policy/gateway.py
+++ b/granitedock/policy/gateway.py
@@ -2,9 +2,10 @@
 
 A carrier makes one `Gateway` (`platform_settings.gateway`), sets its clock with `advance_clock` before each
 batch, and calls `update_endpoints`, `handle_request`, `attempt_finished`, `response_started`,
-`client_disconnected`, `counter_call_finished` and `timer_fired`. The `EffectHandler` carries the decisions
-out. The interface is in `granitedock/policy/types.py` and `ports.py`. docs/design.md describes which parts of
-the design are kept and which have changed.
+`client_disconnected`, `counter_call_finished` and `timer_fired`, and `delivery_delayed` and `delivery_ended`
+where requests take time to reach their hosts. The `EffectHandler` carries the decisions out. The interface is
+in `granitedock/policy/types.py` and `ports.py`. docs/design.md describes which parts of the design are kept
+and which have changed.
 """
 
 from __future__ import annotations
@@ -88,6 +89,7 @@
         """
         request = attempt.request
         attempt.outcome = outcome
+        self.delivery_ended(attempt)
         request.in_flight -= 1
         request.customer.account.in_flight -= 1
         self.load_balancer.attempt_finished(attempt, outcome, took_ms)
@@ -95,6 +97,24 @@
             self.rate_limiter.adjust_usage(request.counter_call, units - request.units)
         advance(REQUEST, request, RequestEvent.ANSWERED if final else RequestEvent.LOST, self)
 
+    def delivery_delayed(self, attempt: Attempt) -> None:
+        """Keep the room of the request's units in its ceiling, as they arrive later than they were taken.
+
+        Prevents units that were taken over some time from arriving at hosts at once, together with as many
+        that the ceiling has granted since. A retry keeps the room too: no earlier attempt may have arrived.
+        """
+        request = attempt.request
+        ceiling = request.customer.account.ceiling
+        if ceiling is not None and attempt.ceiling_in_delivery is None:
+            ceiling.delivery_started(request.units)
+            attempt.ceiling_in_delivery = ceiling
+
+    def delivery_ended(self, attempt: Attempt) -> None:
+        """Let the ceiling refill, as the attempt's request has arrived or never will."""
+        if attempt.ceiling_in_delivery is not None:
+            attempt.ceiling_in_delivery.delivery_ended(attempt.request.units, self.now)
+            attempt.ceiling_in_delivery = None
+
     def response_started(self, attempt: Attempt) -> None:
         """Record that the first bytes of a streamed answer were sent to the client.
 
--- a/granitedock/policy/types.py
+++ b/granitedock/policy/types.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from granitedock.policy.states import RequestState
+from granitedock.policy.token_bucket import TokenBucket
 from granitedock.state_table import StateEnum
 
 
@@ -188,6 +189,7 @@
     in_flight_at_send: int
     outcome: Outcome | None = None
     deliver_before: float = float("inf")  # The latest time at which the host may receive the last byte.
+    ceiling_in_delivery: TokenBucket | None = None  # The ceiling that keeps room for the request's units.
 
 
 @dataclass(eq=False, slots=True)
--- a/granitedock/service/host_connections.py
+++ b/granitedock/service/host_connections.py
@@ -103,6 +103,7 @@
             context.follow_up(self.signal, connection, HostConnectionEvent.NO_CAPACITY)
         else:
             self.open_count += 1
+            self.policy.delivery_delayed(attempt)
             context.counts[counter_names.HOST_DIALS] += 1
             context.emit(context.io.connect_host, connection, endpoint.address)
 
@@ -159,8 +160,13 @@
         advance(HOST_CONNECTION, connection, HostConnectionEvent.DISCONNECTED, self)
 
     def written(self, connection: HostConnection) -> None:
-        """Handle a request that has been written completely."""
+        """Handle a request that has been written completely; only a short one has then reached its host."""
         advance(HOST_CONNECTION, connection, WRITTEN, self)
+        attempt = connection.attempt
+        if attempt is not None and attempt.ceiling_in_delivery is not None:
+            request: InFlightRequest = attempt.request  # type: ignore[assignment]  # The service creates all requests.
+            if request.parsed.size() <= SHORT_REQUEST_BYTES:
+                self.policy.delivery_ended(attempt)
 
     def stale(self, connection: HostConnection) -> None:
         """Handle a request that was not written, because bytes have arrived since the last response."""
@@ -278,6 +284,7 @@
         if request.parsed.size() > SHORT_REQUEST_BYTES:
             time_left_ms = told_time_ms(request, connection.attempt_deadline, context.now)
             self._bound_delivery(connection, attempt, deliver_before(request, time_left_ms))
+            self.policy.delivery_delayed(attempt)
         data = request.parsed.encode(time_left_ms)
         context.emit(connection.link.send, data, len(request.attempts) == 1)  # type: ignore[union-attr]  # It is open.
         return None
--- a/tests/service/test_undelivered_requests.py
+++ b/tests/service/test_undelivered_requests.py
@@ -194,6 +194,71 @@
     assert told_ms(host.read()) == 4000 - gateway.limits.margin_ms
 
 
+# Hard ceilings.
+
+CEILING_UNITS = 10
+CEILING_HOSTS = 4 * CEILING_UNITS  # Enough that only the ceiling rejects requests.
+CEILING_PLAN = {"Name": "p", "Refill": 1000, "MostAtOnce": 1000, "Tolerance": 1}
+CEILING_PLAN |= {"CeilingRate": CEILING_UNITS, "CeilingBurst": CEILING_UNITS}  # The rate is per second.
+
+
+def send_requests(gateway, count, body):
+    """Send idempotent requests of one unit each from as many clients, and return the clients."""
+    clients = [gateway.client() for _ in range(count)]
+    for client in clients:
+        client.send(gateway.request("read", d=4000, body=(body,)))
+    gateway.run_loop()
+    return clients
+
+
+def accept_at_all_hosts(gateway):
+    """Return the pending connections at all hosts."""
+    connections = [peer for server in gateway.hosts for peer in iter(server.accept, None)]
+    gateway.host_peers += connections
+    return connections
+
+
+def count_rejected(clients):
+    return sum(client.read().startswith(b"-BUSY") for client in clients)
+
+
+def test_requests_received_late_do_not_pass_a_ceiling_together_with_later_ones(make_slow_fleet):
+    """Guards against a second burst that reaches hosts at the moment at which they have read the first."""
+    gateway = make_slow_fleet(Tariffs=[CEILING_PLAN], sockets=256, hosts=CEILING_HOSTS)
+    gateway.pass_ms(3000)  # The ceiling fills from the start of the process.
+    first = send_requests(gateway, CEILING_UNITS + 1, BODY)
+    assert count_rejected(first) == 1
+    gateway.pass_ms(1000)  # The ceiling would fill again.
+    assert count_rejected(send_requests(gateway, CEILING_UNITS, b"short")) == CEILING_UNITS
+    for host in accept_at_all_hosts(gateway):
+        received, give_up_at = b"", time.monotonic() + PATIENCE_S
+        while not received.endswith(REQUEST_END):
+            received += host.read()
+            gateway.run_loop()
+            assert time.monotonic() < give_up_at
+        host.send(VALUE)
+    gateway.run_loop()
+    # From here on the ceiling fills.
+    gateway.pass_ms(1000)
+    assert count_rejected(send_requests(gateway, CEILING_UNITS + 1, b"short")) == 1
+
+
+def test_requests_on_late_connections_do_not_pass_a_ceiling_together_with_later_ones(
+    make_gateway,
+):
+    """Guards against a second burst that reaches hosts at the moment at which their connections come up."""
+    gateway = make_gateway(lanes=LANES, Tariffs=[CEILING_PLAN], sockets=256, hosts=CEILING_HOSTS)
+    gateway.pass_ms(3000)
+    gateway.delay_connects()
+    first = send_requests(gateway, CEILING_UNITS, b"short")
+    gateway.pass_ms(1000)
+    assert count_rejected(send_requests(gateway, CEILING_UNITS, b"short")) == CEILING_UNITS
+    gateway.release_connects()
+    gateway.pass_ms(1000)
+    assert count_rejected(send_requests(gateway, CEILING_UNITS + 1, b"short")) == 1
+    assert count_rejected(first) == 0
+
+
 # Requests that need no answer any more.
 
 
