--- a/granitedock/service/delivery_bounds.py
+++ b/granitedock/service/delivery_bounds.py
@@ -1,20 +1,22 @@
-"""Bounds on the delivery of requests to hosts: what a host has not received in time ends with its connection.
+"""The delivery of requests to hosts: what a host has not received in time ends with its connection.
 
 A request counts as delivered once the host's machine has acknowledged its last byte: the kernel takes a whole
-request long before a host that reads slowly has it, and goes on delivering. Keeps no state: connections and
-attempts belong to `host_connections`.
+request long before a host that reads slowly has it, and goes on delivering. A short request on an open
+connection arrives as a whole. Keeps no state: connections and attempts belong to `host_connections`.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from granitedock.policy.delivery_time import SHORT_REQUEST_BYTES, deliver_before, told_time_ms
 from granitedock.policy.types import Attempt, EndpointStatus
 from granitedock.service import counter_names
 from granitedock.service.host_connection import HostConnectionEvent, HostConnectionState
 from granitedock.service.inputs import Input
 
 if TYPE_CHECKING:
+    from granitedock.policy.gateway import Gateway
     from granitedock.service.context import Context
     from granitedock.service.host_connection import Endpoint, HostConnection
     from granitedock.service.host_connections import HostConnections
@@ -22,16 +24,45 @@
 
 
 class DeliveryBounds:
-    """Ends attempts whose request may no longer reach its host."""
+    """Ends attempts whose request may no longer reach its host, and tells the policy which take time."""
 
     hosts: HostConnections
+    policy: Gateway
 
     def __init__(self, context: Context) -> None:
         self.context = context
 
-    def attach(self, hosts: HostConnections) -> None:
-        """Set the state machine that this one calls."""
+    def attach(self, hosts: HostConnections, policy: Gateway) -> None:
+        """Set the state machines that this one calls."""
         self.hosts = hosts
+        self.policy = policy
+
+    # Progress of a delivery.
+
+    def connect_started(self, attempt: Attempt) -> None:
+        """Handle an attempt that waits for a new connection."""
+        self.policy.delivery_delayed(attempt)
+
+    def write_started(self, connection: HostConnection, attempt: Attempt, request: InFlightRequest) -> float:
+        """Return the time in ms to tell the host, and bound the delivery of a long request."""
+        now = self.context.now
+        if request.parsed.size() <= SHORT_REQUEST_BYTES:
+            return connection.attempt_deadline - now
+        told_ms = told_time_ms(request, connection.attempt_deadline, now)
+        self.hosts.bound_delivery(connection, attempt, deliver_before(request, told_ms))
+        self.policy.delivery_delayed(attempt)
+        return told_ms
+
+    def written(self, connection: HostConnection) -> None:
+        """Handle a request of which the last byte has left the process: a short one has reached its host."""
+        attempt = connection.attempt
+        if attempt is None or attempt.ceiling_in_delivery is None:
+            return
+        request: InFlightRequest = attempt.request  # type: ignore[assignment]  # The service creates all requests.
+        if request.parsed.size() <= SHORT_REQUEST_BYTES:
+            self.policy.delivery_ended(attempt)
+
+    # Ends of undelivered attempts.
 
     def delivery_overdue(self, connection: HostConnection) -> None:
         """End an attempt that is not delivered by its `deliver_before`.
--- a/granitedock/service/dispatcher.py
+++ b/granitedock/service/dispatcher.py
@@ -27,6 +27,7 @@
 from granitedock.service.limits import Limits
 from granitedock.service.ports import EventLogPort, GatewayIO
 from granitedock.service.reply_queues import ReplyQueues
+from granitedock.service.response_timeouts import ResponseTimeouts
 from granitedock.service.timers import PolicyTimers
 
 
@@ -121,6 +122,7 @@
         self.host_pool = HostConnectionPool(context)
         self.hosts = HostConnections(context, self.host_pool)
         self.delivery_bounds = DeliveryBounds(context)
+        self.response_timeouts = ResponseTimeouts(context)
         self.counter = CounterConnections(context)
         self.endpoints = EndpointList(context)
         self.discovery = DiscoveryWatch(context, parameters.seed)
@@ -137,8 +139,11 @@
         self.commands.attach(self.clients, self.replies, self.requests, self.hosts, self.lifecycle)
         self.requests.attach(self.clients, self.replies, self.lifecycle, self.delivery_bounds, self.policy)
         self.host_pool.attach(self.endpoints, self.lifecycle)
-        self.hosts.attach(self.requests, self.delivery_bounds, self.policy_timers, self.policy)
-        self.delivery_bounds.attach(self.hosts)
+        self.hosts.attach(
+            self.requests, self.delivery_bounds, self.response_timeouts, self.policy_timers, self.policy
+        )
+        self.delivery_bounds.attach(self.hosts, self.policy)
+        self.response_timeouts.attach(self.hosts)
         self.counter.attach(self.policy_timers, self.policy)
         self.endpoints.attach(self.hosts, self.delivery_bounds, self.lifecycle, self.discovery, self.policy)
         self.discovery.attach(self.lifecycle)
@@ -239,7 +244,9 @@
     Input.HOST_DISCONNECTED: lambda gateway, connection: gateway.hosts.disconnected(connection),
     Input.HOST_REQUEST_WRITTEN: lambda gateway, connection: gateway.hosts.written(connection),
     Input.HOST_RESPONSE_STARTED: lambda gateway, connection: gateway.hosts.response_started(connection),
-    Input.HOST_RESPONSE_STALLED: lambda gateway, *arguments: gateway.hosts.response_stalled(*arguments),
+    Input.HOST_RESPONSE_STALLED: lambda gateway, *arguments: gateway.response_timeouts.timer_fired(
+        *arguments
+    ),
     Input.HOST_RESPONSE: lambda gateway, *arguments: gateway.hosts.response(*arguments),
     Input.HOST_MALFORMED: lambda gateway, connection, reason: gateway.hosts.malformed(connection, reason),
     Input.HOST_STALE: lambda gateway, connection: gateway.hosts.stale(connection),
--- a/granitedock/service/host_connections.py
+++ b/granitedock/service/host_connections.py
@@ -8,7 +8,6 @@
 
 from typing import TYPE_CHECKING
 
-from granitedock.policy.delivery_time import SHORT_REQUEST_BYTES, deliver_before, told_time_ms
 from granitedock.policy.types import Attempt, EndpointStatus, Idempotency, Outcome
 from granitedock.service import counter_names
 from granitedock.service.host_connection import (
@@ -28,6 +27,7 @@
     from granitedock.service.host_pool import HostConnectionPool
     from granitedock.service.in_flight_requests import InFlightRequest, InFlightRequests
     from granitedock.service.ports import HostLinkPort
+    from granitedock.service.response_timeouts import ResponseTimeouts
     from granitedock.service.timers import PolicyTimers
 
 
@@ -45,6 +45,7 @@
 
     requests: InFlightRequests
     delivery_bounds: DeliveryBounds
+    response_timeouts: ResponseTimeouts
     policy_timers: PolicyTimers
     policy: Gateway
 
@@ -59,12 +60,14 @@
         self,
         requests: InFlightRequests,
         delivery_bounds: DeliveryBounds,
+        response_timeouts: ResponseTimeouts,
         policy_timers: PolicyTimers,
         policy: Gateway,
     ) -> None:
         """Set the state machines that this one calls."""
         self.requests = requests
         self.delivery_bounds = delivery_bounds
+        self.response_timeouts = response_timeouts
         self.policy_timers = policy_timers
         self.policy = policy
 
@@ -103,7 +106,7 @@
             context.follow_up(self.signal, connection, HostConnectionEvent.NO_CAPACITY)
         else:
             self.open_count += 1
-            self.policy.delivery_delayed(attempt)
+            self.delivery_bounds.connect_started(attempt)
             context.counts[counter_names.HOST_DIALS] += 1
             context.emit(context.io.connect_host, connection, endpoint.address)
 
@@ -111,17 +114,16 @@
         self.by_attempt[attempt] = connection
         self._schedule_deadline(connection, attempt, min(connection.attempt_deadline, attempt.deliver_before))
 
+    def bound_delivery(self, connection: HostConnection, attempt: Attempt, due: float) -> None:
+        """Have an attempt end at `due` (Unix ms) if it is not delivered by then."""
+        if due < min(attempt.deliver_before, connection.attempt_deadline):
+            attempt.deliver_before = due
+            connection.deadline_timer.cancel()  # type: ignore[union-attr]  # Each attempt has a timer.
+            self._schedule_deadline(connection, attempt, due)
+
     def _schedule_deadline(self, connection: HostConnection, attempt: Attempt, due: float) -> None:
         connection.deadline_timer = self.context.schedule(due, ATTEMPT_DEADLINE, connection, attempt)
 
-    def _bound_delivery(self, connection: HostConnection, attempt: Attempt, due: float) -> None:
-        """Have an attempt end at `due` (Unix ms) if it is not delivered by then."""
-        if due >= min(attempt.deliver_before, connection.attempt_deadline):
-            return
-        attempt.deliver_before = due
-        connection.deadline_timer.cancel()  # type: ignore[union-attr]  # Each attempt has a timer.
-        self._schedule_deadline(connection, attempt, due)
-
     def _free_capacity(self) -> bool:
         """Close an idle connection to make room for a new one, and return whether there was one.
 
@@ -160,13 +162,9 @@
         advance(HOST_CONNECTION, connection, HostConnectionEvent.DISCONNECTED, self)
 
     def written(self, connection: HostConnection) -> None:
-        """Handle a request that has been written completely; only a short one has then reached its host."""
+        """Handle a request that has been written completely."""
         advance(HOST_CONNECTION, connection, WRITTEN, self)
-        attempt = connection.attempt
-        if attempt is not None and attempt.ceiling_in_delivery is not None:
-            request: InFlightRequest = attempt.request  # type: ignore[assignment]  # The service creates all requests.
-            if request.parsed.size() <= SHORT_REQUEST_BYTES:
-                self.policy.delivery_ended(attempt)
+        self.delivery_bounds.written(connection)
 
     def stale(self, connection: HostConnection) -> None:
         """Handle a request that was not written, because bytes have arrived since the last response."""
@@ -206,49 +204,10 @@
         advance(HOST_CONNECTION, connection, HostConnectionEvent.MALFORMED, self)
 
     def response_started(self, connection: HostConnection) -> None:
-        """Start the timer for a response whose first bytes have arrived.
-
-        Prevents responses that start and never end from holding a connection. The timer restarts with newly
-        received bytes, because long responses take time on slow connections; `answer_most_ms` bounds the
-        whole response, against hosts that only trickle bytes.
-        """
-        context = self.context
-        if connection.attempt is not None and connection.link is not None:
-            context.schedule(
-                context.now + context.limits.answer_ms,
-                Input.HOST_RESPONSE_STALLED,
-                connection,
-                connection.attempt,
-                connection.link.received_bytes,
-                context.now,
-            )
+        """Handle the first bytes of a response that is not complete yet."""
+        self.response_timeouts.start(connection)
         advance(HOST_CONNECTION, connection, HostConnectionEvent.RESPONSE_STARTED, self)
 
-    def response_stalled(
-        self, connection: HostConnection, attempt: Attempt, received_bytes: int, started_at: float
-    ) -> None:
-        """Check the progress of a partial response.
-
-        `received_bytes` is the connection's byte count when the timer started, and `started_at` the time at
-        which the response started.
-        """
-        context = self.context
-        link = connection.link
-        if connection.attempt is not attempt or link is None or not link.has_partial_message():
-            return
-        if link.received_bytes == received_bytes or context.now - started_at > context.limits.answer_most_ms:
-            self.malformed(connection, "response incomplete at its time limit")
-        else:
-            next_check_at = context.now + context.limits.answer_ms
-            context.schedule(
-                next_check_at,
-                Input.HOST_RESPONSE_STALLED,
-                connection,
-                attempt,
-                link.received_bytes,
-                started_at,
-            )
-
     def deadline_passed(self, connection: HostConnection, attempt: Attempt) -> None:
         """Handle the time by which an attempt must be delivered, or its deadline.
 
@@ -280,12 +239,7 @@
             or context.now >= attempt.deliver_before
         ):
             return HostConnectionEvent.ABANDONED
-        time_left_ms = connection.attempt_deadline - context.now
-        if request.parsed.size() > SHORT_REQUEST_BYTES:
-            time_left_ms = told_time_ms(request, connection.attempt_deadline, context.now)
-            self._bound_delivery(connection, attempt, deliver_before(request, time_left_ms))
-            self.policy.delivery_delayed(attempt)
-        data = request.parsed.encode(time_left_ms)
+        data = request.parsed.encode(self.delivery_bounds.write_started(connection, attempt, request))
         context.emit(connection.link.send, data, len(request.attempts) == 1)  # type: ignore[union-attr]  # It is open.
         return None
 
@@ -317,8 +271,7 @@
     def abort_abandoned(self, connection: HostConnection) -> None:
         """Abort a connection whose request is no longer needed; no byte of the request was written."""
         self.context.counts[counter_names.UNWANTED] += 1
-        self.abort(connection)
-        self.abandon(connection)
+        self.abort_not_needed(connection)
 
     def abort_unwritten(self, connection: HostConnection) -> None:
         """Abort a connection before the last byte of its request is written: the request never runs."""
--- a/tests/lab/test_flood_soak.py
+++ b/tests/lab/test_flood_soak.py
@@ -7,13 +7,13 @@
 from pathlib import Path
 from random import Random
 
+from command_reader import CommandReader
 from pytest import raises
 
 from granitedock.lab.load.flood_clients import FloodRecord, unserved_floods
 from granitedock.lab.load.flood_input import COMMANDS, MALFORMED_VALUES, FloodInput, draw_flood
 from granitedock.lab.scenario import ScenarioError, load, with_overrides
 from granitedock.lab.scenario_runner import run_on_cluster
-from granitedock.service.resp_receiver import RespReceiver
 
 SOAK = Path(__file__).parents[2] / "docs" / "examples" / "flood-soak.toml"
 
@@ -31,27 +31,15 @@
     assert {len(flood.pieces) > 1 for flood in drawn} == {True, False}
 
 
-class CountingReceiver(RespReceiver):
-    def __init__(self):
-        super().__init__(1024, 65536, 69632, 64, 4)
-        self.makeConnection(self)
-        self.disconnecting = False
-        self.commands = 0
-
-    def value_received(self, value, parts):
-        self.commands += 1
-
-    def malformed(self, reason):
-        pass
-
-
 def test_a_flood_of_commands_has_as_many_as_it_is_owed_replies():
     random = Random("6")
     for flood in (draw_flood(random, 50) for _ in range(200)):
-        receiver = CountingReceiver()
+        reader = CommandReader()
         for piece in flood.pieces:
-            receiver.dataReceived(piece)
-        assert flood.malformed or receiver.commands == flood.replies
+            reader.dataReceived(piece)
+        # Some malformed values are no commands although they are valid RESP.
+        assert flood.malformed or not reader.malformed_reason
+        assert flood.malformed or len(reader.commands) == flood.replies
 
 
 def test_a_flood_that_lacks_a_reply_an_error_or_a_close_is_reported():
--- a/tests/service/test_slow_hosts_soak.py
+++ b/tests/service/test_slow_hosts_soak.py
@@ -15,11 +15,10 @@
 from random import Random
 
 import pytest
+from command_reader import CommandReader
 from fake_gateway import SETTINGS
 from loopback import VALUE, chunk
 
-from granitedock.service.resp_receiver import RespReceiver
-
 SEEDS = int(os.environ.get("SLOW_HOST_SEEDS", "12"))
 STEP_MS = 20.0
 STORY_MS = 8000.0
@@ -46,22 +45,6 @@
 DRAIN_SHARE = 0.01
 
 
-class CommandReader(RespReceiver):
-    """Reads the commands that a host receives."""
-
-    def __init__(self):
-        super().__init__(1024, 65536, 69632, 64, 4)
-        self.disconnecting = False
-        self.makeConnection(self)
-        self.commands = []
-
-    def value_received(self, value, parts):
-        self.commands.append(value)
-
-    def malformed(self, reason):
-        raise AssertionError(reason)
-
-
 @dataclass(eq=False)
 class StoryRequest:
     """A request as its client sees it; times in ms of the story."""
@@ -75,14 +58,6 @@
     answered_at: float = inf
 
 
-@dataclass(frozen=True)
-class Arrival:
-    """The last byte of a request at a host."""
-
-    host: int
-    at: float
-
-
 class HostConnection:
     """A host's end of a connection: it reads at its speed and does one thing with each request."""
 
@@ -97,6 +72,7 @@
         data = self.peer.read(int(len(LONG_BODY) * share))
         if data:
             self.reader.dataReceived(data)
+            assert not self.reader.malformed_reason
         while self.reader.commands:
             words = self.reader.commands.pop(0)
             self.story.arrived(words, self.host)
@@ -129,7 +105,8 @@
             Tariffs=[{"Name": "p", "Refill": 1000, "MostAtOnce": 1000}],
         )
         self.began_ms = self.gateway.now_ms
-        self.requests, self.arrivals, self.drained_at = {}, {}, {}
+        self.requests, self.drained_at = {}, {}
+        self.arrivals = {}  # By request id, the times at which hosts received its last byte.
         self.connections, self.violations, self.events = [], [], Counter()
         # By arrival, the time that the attempt tells its host less the time that is left to the client.
         self.told_too_much_ms = []
@@ -215,7 +192,7 @@
             "its host drained": self.drained_at.get(host, inf) + GRACE_MS,
         }
         if earlier and request.name == "mark":
-            bounds["its window began"] = earlier[0].at + WINDOW_MS
+            bounds["its window began"] = earlier[0] + WINDOW_MS
         if earlier and request.name == "once":
             bounds["it may have run"] = -inf
         for reason, bound in bounds.items():
@@ -223,7 +200,7 @@
                 self.violations.append(
                     f"{request.name} came {self.now - bound:.0f} ms too late after {reason}"
                 )
-        earlier.append(Arrival(host, self.now))
+        earlier.append(self.now)
         self.events["arrivals"] += 1
         self.events["retries that arrived"] += len(earlier) > 1
 
