A response that comes before its host has the whole request is not passed on

What callers would see: the answer to another request, where a host sends one response too many and the next request on that connection is a long one that the host is still reading. And a host that rejects a request before it has read all of it got the rest anyway, on a connection that was kept.

With the rest in the process such a response ended the connection all along; with the rest in the kernel it was the answer.

Evidence: one test with the rest in either place; only with the rest in the kernel the client got the extra response.

Change: at a response to a request of over one segment the kernel is asked what the host's machine has not acknowledged (SIOCOUTQ). A response acknowledges all that its host received before it, so anything left shows that it is older than the request. The attempt ends as one that may have run, after a rejection as one that did not.

--- a/granitedock/service/delivery_bounds.py
+++ b/granitedock/service/delivery_bounds.py
@@ -62,6 +62,20 @@
         if request.parsed.size() <= SHORT_REQUEST_BYTES:
             self.policy.delivery_ended(attempt)
 
+    def is_answered_early(self, connection: HostConnection) -> bool:
+        """Return whether a response arrived before the host's machine had received all of a long request.
+
+        Prevents a client from getting what its host did not make for it, as an extra response to an earlier
+        request. A response acknowledges what its host had received before.
+        """
+        request: InFlightRequest = connection.attempt.request  # type: ignore[assignment,union-attr]  # Set while in flight.
+        if request.parsed.size() <= SHORT_REQUEST_BYTES or not connection.link.unacknowledged_bytes():  # type: ignore[union-attr]  # It is open.
+            return False
+        self.context.event_log.event(
+            "host malformed", host=connection.endpoint.address, why="response before the end of the request"
+        )
+        return True
+
     # Ends of undelivered attempts.
 
     def delivery_overdue(self, connection: HostConnection) -> None:
--- a/granitedock/service/host_connections.py
+++ b/granitedock/service/host_connections.py
@@ -181,22 +181,24 @@
     ) -> None:
         """Handle a response, with the true units and the customer's usage as the host states them.
 
-        `clean` means that no bytes followed the response.
+        `clean` means that no bytes followed the response. One that arrives before its host has received the
+        request is no answer to it, except a rejection: a host that has too many connections sends it at once.
         """
         attempt = connection.attempt
         previous_state = connection.state
-        if clean:
-            event = RESPONSE
-        else:
-            event = HostConnectionEvent.EXCESS_DATA
+        undelivered = previous_state is WAITING and self.delivery_bounds.is_answered_early(connection)
+        if not clean:
             self.context.counts[counter_names.OVERFULL] += 1
+        event = RESPONSE if clean and not undelivered else HostConnectionEvent.EXCESS_DATA
         advance(HOST_CONNECTION, connection, event, self)
-        if previous_state is WAITING:
-            self._finish_attempt(attempt, outcome, data, true_units, quota_used)  # type: ignore[arg-type]  # Set while WAITING.
-        elif previous_state is WRITING:
-            # A host that has too many connections answers before it has received the request.
+        if previous_state is WRITING:
             overloaded = outcome is Outcome.OVERLOADED
             self._end_attempt(connection, outcome if overloaded else Outcome.CONNECTION_FAILED)
+        elif undelivered:
+            overloaded = outcome is Outcome.OVERLOADED
+            self._end_attempt(connection, outcome if overloaded else Outcome.RESET)
+        elif previous_state is WAITING:
+            self._finish_attempt(attempt, outcome, data, true_units, quota_used)  # type: ignore[arg-type]  # Set while WAITING.
 
     def malformed(self, connection: HostConnection, reason: str) -> None:
         """Handle input that is not a valid response."""
--- a/tests/service/test_undelivered_requests.py
+++ b/tests/service/test_undelivered_requests.py
@@ -194,6 +194,40 @@
     assert told_ms(host.read()) == 4000 - gateway.limits.margin_ms
 
 
+# Responses to requests that the host has not received.
+
+
+def test_a_response_before_the_end_of_its_request_is_not_passed_on(make_slow_fleet):
+    """Guards against a client that gets what no host made for its request, such as an extra response."""
+    gateway = make_slow_fleet()
+    client = gateway.client()
+    host = send_request(gateway, client, "once")
+    host.send(VALUE)
+    gateway.pass_ms(20)
+    answer = client.read()
+    if gateway.undelivered_state is HostConnectionState.WAITING:
+        assert answer == ERR  # It may have run.
+        assert host_connection(gateway) is None
+    else:
+        assert answer == b"" and host_connection(gateway) is not None  # It never ran and is sent again.
+    assert_cut_off(host)
+
+
+def test_a_rejection_before_the_end_of_its_request_ends_the_connection(make_slow_fleet):
+    """Guards against the rest of a rejected request, which the next request would follow."""
+    gateway = make_slow_fleet(hosts=2)
+    client = gateway.client()
+    client.send(gateway.request("once", d=4000, body=(BODY,)))
+    gateway.run_loop()
+    number, host = accept_at_any_host(gateway)
+    host.send(b"-BUSY\r\n")
+    gateway.pass_ms(20)
+    assert_cut_off(host)
+    other = gateway.accept_at_host(1 - number)
+    receive_request(gateway, other)
+    gateway.answer_from_host(other, client)
+
+
 # Hard ceilings.
 
 CEILING_UNITS = 10
