Laboratory: emulators listen at a loopback address of their process

Cause, from the traceback: while the host is down its port is free, and the kernel assigns ports on 127.0.0.1 to outgoing connections and listeners of all processes. Test clusters have networks of their own for this; emulators had not. They now listen at 127.A.B.1, by the process's id, above the clusters' networks and the tests' own addresses.

The new test takes the port on 127.0.0.1 between a kill and the restart; it fails before with the same error.

--- a/granitedock/lab/emulators/hosts.py
+++ b/granitedock/lab/emulators/hosts.py
@@ -7,7 +7,7 @@
 emulator uses the framing of the service (`service/resp.py`).
 
 `python -m granitedock.lab.emulators.hosts SCENARIO` prints one JSON line,
-{"zone/n": "127.0.0.1:port", ...}, and serves until SIGTERM. Source: docs/lab-design.md ("Where the emulated
+{"zone/n": "127.A.B.1:port", ...}, and serves until SIGTERM. Source: docs/lab-design.md ("Where the emulated
 hosts run").
 """
 
--- a/granitedock/lab/emulators/process.py
+++ b/granitedock/lab/emulators/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import sys
 from collections.abc import Callable, Iterable
@@ -17,7 +18,23 @@
     from twisted.internet.defer import Deferred
     from twisted.internet.posixbase import PosixReactorBase
 
-LOOPBACK = "127.0.0.1"
+# The loopback addresses of emulators, 127.A.B.1, begin above those of test clusters (`cluster/network.py`).
+FIRST_NETWORK = 200
+NETWORKS = 50
+NETWORKS_PER_SECOND_OCTET = 250
+
+
+def loopback_address(process_id: int) -> str:
+    """Return the address at which the emulators of a process listen.
+
+    The port of a killed emulator is then still free when it restarts: on 127.0.0.1 the kernel assigns it to
+    outgoing connections and to listeners of other processes meanwhile.
+    """
+    network, host = divmod(process_id, NETWORKS_PER_SECOND_OCTET)
+    return f"127.{FIRST_NETWORK + network % NETWORKS}.{host}.1"
+
+
+LOOPBACK = loopback_address(os.getpid())
 
 
 class AbortableTransport(Protocol):
@@ -50,7 +67,7 @@
 def listen_on_loopback(
     reactor: PosixReactorBase, port: int, make_protocol: Callable[[], IProtocol]
 ) -> tuple[IListeningPort, int]:
-    """Listen on 127.0.0.1:`port` (0: any free port); returns the listening port and its number."""
+    """Listen at `LOOPBACK` on `port` (0: any free port); returns the listening port and its number."""
     listening = reactor.listenTCP(port, Factory.forProtocol(make_protocol), interface=LOOPBACK)
     return listening, listening.getHost().port
 
--- a/tests/lab/test_host_emulators.py
+++ b/tests/lab/test_host_emulators.py
@@ -1,6 +1,6 @@
 """Emulated hosts on loopback.
 
-The test guards against hosts that ignore the faults of the scenario: a silent host that replies, or a killed
+The tests guard against hosts that ignore the faults of the scenario: a silent host that replies, or a killed
 host that still listens or does not restart.
 """
 
@@ -8,7 +8,10 @@
 import time
 
 from emulators import CLIENTS, spawned
+from twisted.internet.protocol import Protocol
 
+from granitedock.lab.emulators.process import close_abruptly, listen_on_loopback
+from granitedock.lab.reactor import REACTOR, on_reactor
 from granitedock.service.resp import encode_command
 
 SCENARIO = (
@@ -34,6 +37,16 @@
 VALUE = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
 
 
+def test_a_killed_emulator_restarts_although_another_process_uses_its_port_meanwhile():
+    """Guards against an emulator that cannot listen again, as its port was assigned to somebody else."""
+    listening, port = on_reactor(listen_on_loopback, REACTOR, 0, Protocol)
+    on_reactor(close_abruptly, listening, [])
+    with socket.create_server(("127.0.0.1", port)):  # The kernel may assign it to any listener.
+        restarted, same_port = on_reactor(listen_on_loopback, REACTOR, port, Protocol)
+        on_reactor(restarted.stopListening)
+    assert same_port == port
+
+
 def ask(address, wait_s=1.0):
     """Send a request on a new connection and return the reply.
 
