Tests: the log's limit of the settings test exceeds the lines that the test causes

Cause, from the gateway's log of that run: the test sets 7 lines a second, and the first four rejections, two lines each, filled that second; the rest was dropped, as the limit says. It passes only where the five files take over a second, so that its verdict hung on the machine's speed.

The valid files now allow 70 and 90 lines instead of 7 and 9, which the test cannot reach; what it asks of them, and all other checks, are as before.

--- a/tests/service/test_operator_settings.py
+++ b/tests/service/test_operator_settings.py
@@ -30,7 +30,8 @@
 
 def test_a_valid_file_takes_effect_and_an_invalid_one_is_rejected_with_its_line_and_changes_nothing(tmp_path):
     file = tmp_path / "gateway.toml"
-    file.write_text("[log]\nlines_a_second = 7\n[limits]\nrest_ms = 4000\n")
+    # More lines than the test causes: on a fast machine it takes less than a second, and 7 lines were too few.
+    file.write_text("[log]\nlines_a_second = 70\n[limits]\nrest_ms = 4000\n")
     with GatewayCluster(fleet_scenario(1, "view = true", "view = false"), tmp_path) as cluster:
         cluster.wait_until_ready()
         cluster.kill(0)
@@ -40,7 +41,7 @@
         platform_file = str(cluster.gateways[0].platform_path())
         command = [*GRANITEDOCK, "check", "--told", platform_file, "--config", str(file)]
         result = subprocess.run(command, capture_output=True, text=True, timeout=20)
-        assert '"log_lines": 7' in result.stdout and '"rest_ms": 4000.0' in result.stdout
+        assert '"log_lines": 70' in result.stdout and '"rest_ms": 4000.0' in result.stdout
         invalid_files = (
             ("[log]\nlines_a_second = 0\n", ":2: log.lines_a_second: "),
             ("[limits]\nrest_ms = 10\n", ":2: limits.rest_ms: "),
@@ -54,10 +55,10 @@
             assert result.returncode == 1 and f"gateway.toml{expected}" in result.stderr
             cluster.gateways[0].signal(signal.SIGHUP)
             assert expected in wait_for_events(cluster, 0, "operator settings rejected", index + 1)[-1]["why"]
-        file.write_text("[log]\nlines_a_second = 9\n[limits]\nrest_ms = 5000\n")
+        file.write_text("[log]\nlines_a_second = 90\n[limits]\nrest_ms = 5000\n")
         cluster.gateways[0].signal(signal.SIGHUP)
         event = wait_for_events(cluster, 0, "operator settings reloaded", 1)[-1]
-        assert event["max_lines_per_second"] == 9 and event["limits_need_restart"] is True
+        assert event["max_lines_per_second"] == 90 and event["limits_need_restart"] is True
         # A gateway that cannot read its file does not start, and logs the reason.
         cluster.kill(0)
         file.unlink()
