--- a/tests/service/test_operator_settings.py
+++ b/tests/service/test_operator_settings.py
@@ -30,7 +30,7 @@
 
 def test_a_valid_file_takes_effect_and_an_invalid_one_is_rejected_with_its_line_and_changes_nothing(tmp_path):
     file = tmp_path / "gateway.toml"
-    # More lines than the test causes: on a fast machine it takes less than a second, and 7 lines were too few.
+    # More lines than the test causes: a fast machine takes less than a second for it, and 7 were too few.
     file.write_text("[log]\nlines_a_second = 70\n[limits]\nrest_ms = 4000\n")
     with GatewayCluster(fleet_scenario(1, "view = true", "view = false"), tmp_path) as cluster:
         cluster.wait_until_ready()
