--- a/granitedock/lab/cluster/gateway_files.py
+++ b/granitedock/lab/cluster/gateway_files.py
@@ -21,6 +21,7 @@
         "listen": f"{network.gateway_host(gateway)}:{CLIENTS_PORT}",
         "discovery": discovery_address,
         "counter": counter_address,
+        "limits": {"memory_mb": scenario.fleet.memory_mb, "sockets": scenario.fleet.sockets},
         "settings": gateway_settings(scenario, gateway),
     }
 
--- a/granitedock/lab/cluster/gateway_process.py
+++ b/granitedock/lab/cluster/gateway_process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 import signal
 import subprocess
 import sys
@@ -65,6 +66,8 @@
             self.process = subprocess.Popen(
                 [*command, *self.options], stdin=subprocess.DEVNULL, stdout=log, stderr=log
             )
+        sockets = self.platform["limits"]["sockets"]
+        resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (sockets, sockets))
         self.paused = False
 
     def signal(self, number: int) -> None:
--- a/granitedock/lab/hollow/gateway_io.py
+++ b/granitedock/lab/hollow/gateway_io.py
@@ -84,6 +84,14 @@
         if timer.input is not None:
             self.handle_input(timer.input, *timer.arguments)
 
+    def timer_count(self) -> int:
+        """Return 0: timers are not counted here."""
+        return 0
+
+    def peak_memory_kib(self) -> int:
+        """Return 0: memory is not measured here."""
+        return 0
+
     def connect_watch(self, watch: Watch) -> None:
         """Connect to discovery."""
         self.watch_connector.connect(watch, self.discovery)
--- a/granitedock/lab/scale/hosts.py
+++ b/granitedock/lab/scale/hosts.py
@@ -49,7 +49,7 @@
     def event(self, event: str, /, **figures: Any) -> None:
         """Discard the event."""
 
-    def __getattr__(self, name: str) -> Callable[..., None]:
+    def __getattr__(self, name: str) -> Callable[..., Any]:
         return lambda *_: None
 
 
--- a/granitedock/lab/scenario.py
+++ b/granitedock/lab/scenario.py
@@ -81,6 +81,8 @@
     host_health_sharing: bool = Field(default=False, alias="hosts")
     quota_sharing: bool = Field(default=False, alias="shared")
     membership: bool = Field(default=False, alias="view")  # in the operators' file
+    memory_mb: Annotated[float, Field(ge=32)] = 192.0  # limit of one gateway, in its platform file
+    sockets: Annotated[int, Field(ge=64)] = 1024  # file descriptors of one gateway, also as its RLIMIT_NOFILE
     zones: Annotated[list[Zone], Field(min_length=1)]
 
     @model_validator(mode="after")
--- a/granitedock/model_checking/modelled_gateway.py
+++ b/granitedock/model_checking/modelled_gateway.py
@@ -142,6 +142,14 @@
         """Schedule the event in which a connection to the counter is established or refused."""
         self.world.pending.add((move_names.COUNTER_CONNECT, self.number, connection.number), connection)
 
+    def timer_count(self) -> int:
+        """Return 0: timers are not counted here."""
+        return 0
+
+    def peak_memory_kib(self) -> int:
+        """Return 0: memory is not measured here."""
+        return 0
+
     def connect_watch(self, watch: Watch) -> None:
         """Do nothing: the first watch is established at the start, and the horizon is before any other."""
 
--- a/granitedock/service/client_connections.py
+++ b/granitedock/service/client_connections.py
@@ -45,6 +45,7 @@
     """A client's connection. Times are in Unix ms."""
 
     link: ClientLinkPort
+    number: int = 0  # Counts the process's connections from 1; the event log names it.
     # Written by `ReplyQueues`.
     pending: deque[CommandReply | InFlightRequest] = field(default_factory=deque)  # In order of arrival.
     write_paused: bool = False
@@ -85,14 +86,15 @@
         """Register an accepted connection; over the limits, evict idle ones, pause accepting or reset it."""
         context = self.context
         limits = context.limits
-        client = link.record = ClientConnection(link, idle_since=context.now)
-        self.connections[client] = None
         context.counts[counter_names.CLIENT_LINKS] += 1
+        number = context.counts[counter_names.CLIENT_LINKS]
+        client = link.record = ClientConnection(link, number, idle_since=context.now)
+        self.connections[client] = None
         if len(self.connections) >= limits.client_links:
             self._evict_idle(1)
         if len(self.connections) > limits.client_over:
             context.counts[counter_names.CLIENT_LINKS_OVER] += 1
-            context.emit(link.abort)
+            self.abort(client, "too many connections")
         elif len(self.connections) >= limits.client_most and not self.accept_paused:
             self._set_accepting(False)
             context.schedule(context.now + limits.fresh_ms, Input.CLIENT_LIMIT_CHECK)
@@ -161,7 +163,9 @@
         """Send an error reply behind the outstanding replies and then close, as the input is no command."""
         context = self.context
         context.counts[counter_names.MALFORMED] += 1
-        context.event_log.event("client malformed", why=reason)
+        context.event_log.event(
+            "client malformed", why=reason, client=client.number, requests=len(client.pending)
+        )
         if client.state is OPEN:
             client.state = ClientState.MALFORMED
             client.malformed_since = context.now
@@ -169,6 +173,15 @@
 
     # Closing connections.
 
+    def abort(self, client: ClientConnection, reason: str) -> None:
+        """Reset a connection; one with pending commands is logged, as their replies are lost."""
+        if client.pending:
+            self.context.counts[counter_names.CLIENT_LINKS_UNANSWERED] += 1
+            self.context.event_log.event(
+                "client connection reset", why=reason, client=client.number, requests=len(client.pending)
+            )
+        self.context.emit(client.link.abort)
+
     def disconnected(self, client: ClientConnection) -> None:
         """Remove a disconnected connection, and resume accepting if it was paused and there is room again."""
         client.state = ClientState.CLOSED
@@ -184,7 +197,7 @@
         if client.state is OPEN and not client.sent_request:
             self.context.counts[counter_names.CLIENT_LINKS_SILENT] += 1
             self._set_closing(client, None)
-            self.context.emit(client.link.abort)
+            self.abort(client, "silent")
 
     def close_idle(self, client: ClientConnection) -> None:
         """Close a connection that has been idle for too long."""
@@ -270,10 +283,10 @@
         if client.write_closed_at is None:
             if context.now - client.closing_since > limits.flush_ms:
                 context.counts[counter_names.SLOW_READERS] += 1
-                context.emit(client.link.abort)
+                self.abort(client, "replies not read in time")
                 return
         elif context.now - client.write_closed_at > limits.close_ms:
-            context.emit(client.link.abort)
+            self.abort(client, "not closed by the client")
             return
         context.emit(client.link.drain_input)
 
--- a/granitedock/service/in_flight_requests.py
+++ b/granitedock/service/in_flight_requests.py
@@ -207,7 +207,11 @@
         """Fail a request that has no reply although its deadline has passed."""
         self.context.counts[counter_names.FORGOTTEN] += 1
         self.context.event_log.event(
-            "request watchdog", state=request.state.value, attempts=len(request.attempts)
+            "request watchdog",
+            id=request.parsed.id.decode(),
+            client=request.client.number,
+            state=request.state.value,
+            attempts=len(request.attempts),
         )
         request.state = RequestState.FINISHED
         self.fail(request)
--- a/granitedock/service/ports.py
+++ b/granitedock/service/ports.py
@@ -2,7 +2,8 @@
 
 The state machines emit calls of these methods as effects, which the event loop carries out after the input
 has been handled. Only the event log and queries without side effects (`has_partial_message`,
-`received_bytes`, `has_unread_bytes`, `unacknowledged_bytes`) are used directly.
+`received_bytes`, `has_unread_bytes`, `unacknowledged_bytes`, `timer_count`, `peak_memory_kib`) are used
+directly.
 """
 
 from __future__ import annotations
@@ -25,6 +26,14 @@
         """Schedule the timer: its input is handled when the timer expires, unless it is cancelled before."""
         ...
 
+    def timer_count(self) -> int:
+        """Return how many timers are stored, cancelled ones included."""
+        ...
+
+    def peak_memory_kib(self) -> int:
+        """Return the most memory that the process has had resident, in KiB."""
+        ...
+
     def connect_host(self, connection: HostConnection, address: str) -> None:
         """Connect to a host; the result is the input HOST_CONNECTED or HOST_DISCONNECTED."""
         ...
--- a/granitedock/service/reply_queues.py
+++ b/granitedock/service/reply_queues.py
@@ -71,7 +71,7 @@
             if client.unread_bytes > self.context.limits.unread:
                 # Prevents clients that read nothing from using up memory.
                 self.context.counts[counter_names.SLOW_READERS] += 1
-                self.context.emit(client.link.abort)
+                self.clients.abort(client, "too many unread replies")
                 return
         if not pending:
             self.clients.replies_written(client)
--- a/tests/helpers/fake_gateway.py
+++ b/tests/helpers/fake_gateway.py
@@ -290,6 +290,12 @@
     def start_timer(self, timer):
         self.timers.append(timer)
 
+    def timer_count(self):
+        return len(self.timers)
+
+    def peak_memory_kib(self):
+        return 0
+
     def connect_host(self, connection, address):
         self.pending_connects.append((HostProtocol, connection, Input.HOST_DISCONNECTED))
 
