Counters of accounts and timers in INFO, resident memory in the line on SIGUSR1

The memory is not deterministic and would change a recorded reply with each run, so that it is in the counters' line of the event log (SIGUSR1, exit) and not in INFO.

--- a/granitedock/event_log.py
+++ b/granitedock/event_log.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import os
+import resource
 from collections import Counter
 from collections.abc import Callable, MutableMapping
+from pathlib import Path
 from typing import Any
 
 import orjson
@@ -16,6 +18,7 @@
 
 STANDARD_ERROR = 2
 MS_PER_S = 1000
+BYTES_PER_KIB = 1024
 
 
 class DescriptorWriter:
@@ -88,6 +91,16 @@
         self.logger.msg(event, **fields)
 
     def log_counters(self, event: str) -> None:
-        """Log all counters in one line, which is never dropped for the limit because it was requested."""
+        """Log all counters and the resident memory in one line.
+
+        The line is never dropped for the limit, because it was requested.
+        """
         self.lines_this_second = 0
-        self.event(event, lines_dropped=self.dropped_lines, **dict(sorted(self.counts.items())))
+        counters = dict(sorted(self.counts.items()))
+        self.event(event, lines_dropped=self.dropped_lines, memory_kib=resident_kib(), **counters)
+
+
+def resident_kib() -> int:
+    """Return the memory that the process has resident, in KiB. Source: proc(5), /proc/self/statm."""
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * resource.getpagesize() // BYTES_PER_KIB
--- a/granitedock/lab/hollow/gateway_io.py
+++ b/granitedock/lab/hollow/gateway_io.py
@@ -88,10 +88,6 @@
         """Return 0: timers are not counted here."""
         return 0
 
-    def peak_memory_kib(self) -> int:
-        """Return 0: memory is not measured here."""
-        return 0
-
     def connect_watch(self, watch: Watch) -> None:
         """Connect to discovery."""
         self.watch_connector.connect(watch, self.discovery)
--- a/granitedock/model_checking/modelled_gateway.py
+++ b/granitedock/model_checking/modelled_gateway.py
@@ -146,10 +146,6 @@
         """Return 0: timers are not counted here."""
         return 0
 
-    def peak_memory_kib(self) -> int:
-        """Return 0: memory is not measured here."""
-        return 0
-
     def connect_watch(self, watch: Watch) -> None:
         """Do nothing: the first watch is established at the start, and the horizon is before any other."""
 
--- a/granitedock/service/client_commands.py
+++ b/granitedock/service/client_commands.py
@@ -102,7 +102,6 @@
             counter_names.HELD_BYTES_NOW: self.requests.bytes_in_flight(),
             counter_names.ACCOUNTS_NOW: len(self.requests.policy.rate_limiter.accounts),
             counter_names.TIMERS_NOW: self.context.io.timer_count(),
-            counter_names.MEMORY_KIB_MOST: self.context.io.peak_memory_kib(),
         }
         figures = {**self.context.counts, **gauges}
         return [(name.encode(), number) for name, number in sorted(figures.items())]
--- a/granitedock/service/effects.py
+++ b/granitedock/service/effects.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import resource
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -74,10 +73,6 @@
         """Return how many timers are stored, cancelled ones included."""
         return len(self.reactor.timer_queue.heap)
 
-    def peak_memory_kib(self) -> int:
-        """Return the most memory that the process has had resident, in KiB. Source: getrusage(2)."""
-        return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-
     def connect_host(self, connection: object, address: str) -> None:
         """Connect to a host."""
         self.hosts.connect(connection, address)
--- a/granitedock/service/ports.py
+++ b/granitedock/service/ports.py
@@ -2,8 +2,7 @@
 
 The state machines emit calls of these methods as effects, which the event loop carries out after the input
 has been handled. Only the event log and queries without side effects (`has_partial_message`,
-`received_bytes`, `has_unread_bytes`, `unacknowledged_bytes`, `timer_count`, `peak_memory_kib`) are used
-directly.
+`received_bytes`, `has_unread_bytes`, `unacknowledged_bytes`, `timer_count`) are used directly.
 """
 
 from __future__ import annotations
@@ -30,10 +29,6 @@
         """Return how many timers are stored, cancelled ones included."""
         ...
 
-    def peak_memory_kib(self) -> int:
-        """Return the most memory that the process has had resident, in KiB."""
-        ...
-
     def connect_host(self, connection: HostConnection, address: str) -> None:
         """Connect to a host; the result is the input HOST_CONNECTED or HOST_DISCONNECTED."""
         ...
--- a/tests/helpers/fake_gateway.py
+++ b/tests/helpers/fake_gateway.py
@@ -293,9 +293,6 @@
     def timer_count(self):
         return len(self.timers)
 
-    def peak_memory_kib(self):
-        return 0
-
     def connect_host(self, connection, address):
         self.pending_connects.append((HostProtocol, connection, Input.HOST_DISCONNECTED))
 
