A connection is closed in the step that finds it idle, and only with all replies sent

Cause: check, then act in a later turn. The maintenance found the connection idle and without unread bytes, and asked the transport to close it; Twisted does so when the next poll reports it writable, behind the input of all other connections of that poll. With 64 KB of PINGs from each of six clients that is 0.6 to 1.2 s, in which requests arrive that the close resets. The same mistake: evicted connections without a request (abortConnection, an iteration later), the half-close of a shutdown, and a half-close behind replies that the client has not read: until it reads them requests are read and dropped.

Change: idle and evicted connections are closed in the step of the check, the half-close of a shutdown too, and no connection is closed while replies are unsent; one whose client does not read for flush_ms is reset as a slow reader, as in closing. Why it works: between the check and the close no other input is handled.

--- a/granitedock/service/client_connections.py
+++ b/granitedock/service/client_connections.py
@@ -193,11 +193,11 @@
             self.context.follow_up(self.lifecycle.signal, LifecycleEvent.NO_CLIENTS)
 
     def close_silent(self, client: ClientConnection) -> None:
-        """Reset a connection that has sent no request, to free its file descriptor."""
-        if client.state is OPEN and not client.sent_request:
+        """Close a connection that has sent no request, to free its file descriptor."""
+        if client.state is OPEN and not client.sent_request and not client.pending:
             self.context.counts[counter_names.CLIENT_LINKS_SILENT] += 1
-            self._set_closing(client, None)
-            self.abort(client, "silent")
+            self._set_closing(client, self.context.now)
+            self.context.emit(client.link.close_both_sides)
 
     def close_idle(self, client: ClientConnection) -> None:
         """Close a connection that has been idle for too long."""
@@ -291,11 +291,18 @@
         context.emit(client.link.drain_input)
 
     def _inspect_idle(self, client: ClientConnection) -> None:
-        limits = self.context.limits
+        context = self.context
+        limits = context.limits
         idle_limit_ms = limits.rest_ms if client.sent_request else limits.half_ms
-        if not client.pending and self.context.now - client.idle_since > idle_limit_ms:
-            # Sends no error reply, which a client could take for that to a request that crosses the close.
-            self.context.emit(client.link.check_unread, Input.CLIENT_IDLE)
+        idle_ms = context.now - client.idle_since
+        if client.pending or idle_ms <= idle_limit_ms:
+            return
+        if idle_ms > limits.flush_ms and client.link.has_unsent_output():
+            context.counts[counter_names.SLOW_READERS] += 1
+            self.abort(client, "replies not read in time")
+            return
+        # Sends no error reply, which a client could take for that to a request that crosses the close.
+        context.emit(client.link.check_unread, Input.CLIENT_IDLE)
 
     def _inspect_partial(self, client: ClientConnection) -> None:
         """Reject a partial command that makes no progress or takes too long in total.
--- a/granitedock/service/client_protocol.py
+++ b/granitedock/service/client_protocol.py
@@ -22,6 +22,7 @@
 from granitedock.service.limits import Limits
 from granitedock.service.resp import encode_bulk_string, has_unread_input, join_parts
 from granitedock.service.resp_receiver import RespReceiver
+from granitedock.service.socket_queue import unsent_bytes
 
 READ_COMMAND = b"API.READ"
 WRITE_COMMAND = b"API.WRITE"
@@ -226,16 +227,21 @@
         self.transport.unregisterProducer()
         self.transport.resumeProducing()
         self.transport.loseWriteConnection()
+        self.write_now()
 
     def close_both_sides(self) -> None:
-        """Close both directions once all output is written.
+        """Close both directions at once, without waiting for the next iteration of the event loop.
 
-        Intended for an idle client, which has read all replies long before: its file descriptor is freed at
-        once.
+        Intended for an idle client, which has read all replies long before: its file descriptor is freed.
+        Prevents a decision to close from taking effect only after the input of other connections, while
+        requests arrive that the close then resets.
         """
         self.ignoring_input = True
         self.transport.unregisterProducer()
         self.transport.loseConnection()
+        if (reason := self.write_now()) is not None:
+            self.transport.stopWriting()
+            self.transport.connectionLost(Failure(reason))
 
     def abort(self) -> None:
         """Reset the connection."""
@@ -248,13 +254,18 @@
             self.dropped_bytes = 0
             self.transport.resumeProducing()
 
+    def has_unsent_output(self) -> bool:
+        """Return whether replies wait in this process because the client does not read them."""
+        return unsent_bytes(self.transport) > 0
+
     def check_unread(self, then: str) -> None:
-        """Handle the input `then` if no received byte is unread.
+        """Handle the input `then` if no received byte is unread and all output is sent.
 
         Prevents closing the connection over commands that arrived while this process was slow, and the loss
-        of replies by the reset that the kernel sends when a socket with unread bytes is closed.
+        of replies by the reset that the kernel sends when a socket with unread bytes is closed. A connection
+        with unsent output could not be closed at once, and commands that arrive until then would be lost.
         """
-        if self.transport.connected and not has_unread_input(self.transport):
+        if self.transport.connected and not self.has_unsent_output() and not has_unread_input(self.transport):
             self.handle_input(then, self.record)
 
     # Half-closes, called by the transport.
--- a/granitedock/service/ports.py
+++ b/granitedock/service/ports.py
@@ -2,7 +2,8 @@
 
 The state machines emit calls of these methods as effects, which the event loop carries out after the input
 has been handled. Only the event log and queries without side effects (`has_partial_message`,
-`received_bytes`, `has_unread_bytes`, `unacknowledged_bytes`, `timer_count`) are used directly.
+`received_bytes`, `has_unread_bytes`, `has_unsent_output`, `unacknowledged_bytes`, `timer_count`) are used
+directly.
 """
 
 from __future__ import annotations
@@ -87,11 +88,15 @@
         ...
 
     def close_both_sides(self) -> None:
-        """Close both directions once all output is written."""
+        """Close both directions at once."""
+        ...
+
+    def has_unsent_output(self) -> bool:
+        """Return whether replies wait in this process because the client does not read them."""
         ...
 
     def check_unread(self, then: Input) -> None:
-        """Handle the input `then` if no received byte is unread."""
+        """Handle the input `then` if no received byte is unread and all output is sent."""
         ...
 
     def drain_input(self) -> None:
--- a/granitedock/service/resp_receiver.py
+++ b/granitedock/service/resp_receiver.py
@@ -112,8 +112,14 @@
         Bytes that the socket does not accept now are written then.
         """
         self.transport.write(data)
-        if self.transport.connected:
-            self.transport.doWrite()
+        self.write_now()
+
+    def write_now(self) -> Exception | None:
+        """Write what the transport buffers, and half-close the connection if that is to follow.
+
+        Returns why the connection is over, or None if it is open; the transport reports it later.
+        """
+        return self.transport.doWrite() if self.transport.connected else None
 
     def has_partial_message(self) -> bool:
         """Return whether a value is partly received."""
--- a/granitedock/service/socket_queue.py
+++ b/granitedock/service/socket_queue.py
@@ -14,6 +14,11 @@
 NO_LINGER = struct.pack("ii", 1, 0)  # On, for 0 s.
 
 
+def unsent_bytes(transport: Any) -> int:
+    """Return how many written bytes a Twisted transport buffers, because its socket did not take them."""
+    return len(transport.dataBuffer) - transport.offset + transport._tempDataLen
+
+
 def unacknowledged_bytes(transport: Any) -> int | None:
     """Return how many written bytes the peer's machine has not acknowledged, or None if the kernel can't say.
 
--- a/tests/helpers/fake_gateway.py
+++ b/tests/helpers/fake_gateway.py
@@ -192,6 +192,7 @@
             False,
         )
         protocol.transport, self.connected, self.unread = self, True, b""
+        self.dataBuffer, self.offset, self._tempDataLen = b"", 0, 0
 
     def write(self, data):
         self.written += data
--- a/tests/helpers/loopback.py
+++ b/tests/helpers/loopback.py
@@ -17,6 +17,7 @@
 from granitedock.service.clock import Clock
 from granitedock.service.reactor import GatewayReactor
 from granitedock.service.resp import encode_command
+from granitedock.service.socket_queue import unsent_bytes
 from granitedock.service.timer_queue import TimerQueue
 
 # Unique to this process, so that no outgoing connection of another process on 127.0.0.1 takes the port.
@@ -260,6 +261,10 @@
             and self.run_loop()
         )
 
+    def unsent_bytes_to_clients(self):
+        """Return how many bytes of replies wait in the gateway's process for clients to read."""
+        return sum(unsent_bytes(client.link.transport) for client in self.state_machine.clients.connections)
+
     def close(self):
         for reader_or_writer in [*self.reactor.getReaders(), *self.reactor.getWriters()]:
             self.reactor.removeReader(reader_or_writer)
--- a/tests/service/test_gateway_process.py
+++ b/tests/service/test_gateway_process.py
@@ -503,7 +503,7 @@
     assert not others[1].closed  # Its command is sent, but the gateway has not read it yet.
     others[1].unread = b""
     gateway.pass_ms(100)
-    assert others[1].closed == others[2].closed == "aborted"  # Clients without a request are closed first.
+    assert others[1].closed == others[2].closed == "ended"  # Clients without a request are closed first.
     assert not others[0].closed
     gateway.pass_ms(2000)
     assert others[0].closed == "ended"
