Input of connections is parsed in slices of time, in turn; waiting input knows its arrival

Cause: one turn of the event loop handled all the input that each connection had, 64 KB each; nothing bounded the work of a turn in time.

A connection whose input waits is not read, so that its buffer is bounded; clients are read 16 KiB at a time; replies written while input is parsed go out together. Hosts, the counter and the discovery watch are cut too; a single endpoint list (parse and update) is the longest step that is not, then a window of 2 KiB, 16 lines or one value. Input that waited here or in the kernel or in the listener's backlog (TCP_INFO) counts from its earliest arrival, so that its answer is in time; a request whose time is over is rejected at once. A close behind unread input ends the connection (TCP_INFO, CLOSE_WAIT).

The checks on processor time stay at 0.15 s; the gateway of these tests now cuts by the real clock, and runs until no input waits.

--- a/granitedock/model_checking/modelled_connections.py
+++ b/granitedock/model_checking/modelled_connections.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import inf
 from typing import TYPE_CHECKING, Any, ClassVar
 
 from granitedock.model_checking import gateway_moves as move_names
@@ -46,6 +47,8 @@
     """A client's connection."""
 
     disconnected: ClassVar[Input] = Input.CLIENT_DISCONNECTED
+    waits_for_slice: ClassVar[bool] = False
+    earliest_arrival_ms: ClassVar[float] = inf
 
     def send(self, data: bytes) -> None:
         """Pass the data to the client, which reads it at once."""
@@ -59,6 +62,13 @@
         """Close the connection as `abort` does: all output is already written."""
         self.abort()
 
+    def check_peer(self) -> None:
+        """Do nothing: a close is noticed at once."""
+
+    def has_unsent_output(self) -> bool:
+        """Return False: clients read replies at once."""
+        return False
+
     def check_unread(self, then: Input) -> None:
         """Queue the input `then`: no command is ever unread."""
         if self.open:
--- a/granitedock/service/client_connections.py
+++ b/granitedock/service/client_connections.py
@@ -269,6 +269,9 @@
         elif client.write_paused:
             # Input is not parsed until the client reads, so the connection is neither partial nor idle.
             client.partial_since = 0.0
+            self.context.emit(client.link.check_peer)
+        elif client.link.waits_for_slice:
+            client.partial_since = 0.0
         elif self.lifecycle.shutting and not client.pending:
             self.close_if_idle(client)
         elif client.link.has_partial_message():
--- a/granitedock/service/client_protocol.py
+++ b/granitedock/service/client_protocol.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 from typing import Any
 
 from twisted.internet.error import ConnectionDone
@@ -18,11 +20,13 @@
 
 from granitedock.service.callbacks import InputHandler
 from granitedock.service.errors import RequestFormatError
+from granitedock.service.input_scheduler import InputScheduler, PollTimes
 from granitedock.service.inputs import Input
 from granitedock.service.limits import Limits
+from granitedock.service.listener import READ_BYTES
 from granitedock.service.resp import encode_bulk_string, has_unread_input, join_parts
 from granitedock.service.resp_receiver import RespReceiver
-from granitedock.service.socket_queue import unsent_bytes
+from granitedock.service.socket_queue import peer_has_closed, unsent_bytes
 
 READ_COMMAND = b"API.READ"
 WRITE_COMMAND = b"API.WRITE"
@@ -37,6 +41,9 @@
 DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?").fullmatch
 INTEGER = re.compile(rb"[0-9]{1,9}").fullmatch
 
+# Input that is read from a client that leaves replies unread; a read may exceed it.
+MAX_PAUSED_INPUT_BYTES = 4096
+
 # Reasons, sent to the client in error replies.
 NOT_A_COMMAND = "not a command"
 WRONG_WORD_COUNT = "a task has four words or five"
@@ -146,16 +153,29 @@
 
     record: Any = None  # The state machine's `ClientConnection`.
 
-    def __init__(self, handle_input: InputHandler, limits: Limits) -> None:
+    shares_read_time = True
+
+    def __init__(
+        self, handle_input: InputHandler, limits: Limits, scheduler: InputScheduler | None = None
+    ) -> None:
         super().__init__(limits.line, limits.value, limits.whole, limits.items, 1)
+        self.scheduler = scheduler
         self.handle_input = handle_input
         self.limits = limits
+        # The earliest time at which input that is parsed now may have arrived, Unix ms.
+        self.earliest_arrival_ms = inf
+        self.may_wait_in_kernel = True  # Input may have arrived that no read has found.
+        self.kernel_drained_at_ms = inf  # When a read last found all input, Unix ms.
         self.dropped_bytes = 0  # Bytes dropped since `drain_input` last resumed reading.
 
     def connectionMade(self) -> None:
         """Set up the accepted connection and pass it to the state machine."""
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
+        if self.scheduler is not None:
+            polls = self.scheduler.polls
+            waited_ms = polls.ms_since_last_data(self.transport)  # In the listener's backlog.
+            self.kernel_drained_at_ms = polls.last_poll_ended_ms - waited_ms
         self.handle_input(Input.CLIENT_CONNECTED, self)
 
     def connectionLost(self, _reason: Failure | None = None) -> None:
@@ -165,12 +185,11 @@
         self.handle_input(Input.CLIENT_DISCONNECTED, record)
 
     def dataReceived(self, data: bytes) -> None:
-        """Parse received bytes, and bound the input that is read without being parsed.
+        """Parse received bytes, and bound the input that is read and dropped.
 
         Prevents peers that keep sending to a closing connection from using up the processor: between two runs
         of the maintenance a bounded amount is read and dropped, then reading pauses; outstanding replies can
-        still be sent and read. From a client that leaves replies unread, a bounded amount is read and
-        buffered, so that its close is detected.
+        still be sent and read.
         """
         if self.ignoring_input:
             self.received_bytes += len(data)
@@ -178,10 +197,36 @@
             if self.dropped_bytes > self.limits.unread:
                 self.transport.pauseProducing()
             return
+        if self.scheduler is not None and data:
+            self.record_arrival(len(data), self.scheduler.polls)
         super().dataReceived(data)
-        if self.paused and not self.ignoring_input and len(self._buffer) > self.limits.whole:
+        if self.paused and len(self._buffer) > MAX_PAUSED_INPUT_BYTES:
+            self.may_wait_in_kernel = True
             self.transport.pauseProducing()
 
+    def record_arrival(self, read_bytes: int, polls: PollTimes) -> None:
+        """Record when the bytes that were just read may have arrived at the earliest.
+
+        While a connection is not read, its input waits in the kernel, and no poll tells since when.
+        """
+        arrival_ms = polls.earliest_arrival_ms
+        if self.may_wait_in_kernel:
+            arrival_ms = min(arrival_ms, self.kernel_drained_at_ms)
+        self.earliest_arrival_ms = min(self.earliest_arrival_ms, arrival_ms) if self._buffer else arrival_ms
+        self.may_wait_in_kernel = read_bytes >= READ_BYTES
+        if not self.may_wait_in_kernel:
+            self.kernel_drained_at_ms = polls.last_poll_ended_ms
+
+    def wait_for_slice(self, queue: Callable[[RespReceiver], None]) -> None:
+        """Pause reading, and queue this connection at the scheduler by `queue`, unless it waits already."""
+        self.may_wait_in_kernel = True
+        super().wait_for_slice(queue)
+
+    def continue_parsing(self, deadline: float) -> None:
+        """Parse buffered input, unless the client has closed the connection since it was read."""
+        self.check_peer()
+        super().continue_parsing(deadline)
+
     def value_received(self, value: Any, parts: list[bytes]) -> None:
         """Pass a request or another command to the state machine, or reject the input."""
         if type(value) is not list or not value or type(value[0]) is not bytes:
@@ -202,10 +247,10 @@
         self.handle_input(Input.CLIENT_MALFORMED, self.record, reason)
 
     def pauseProducing(self) -> None:
-        """Stop parsing while the client leaves replies unread; input is still read, and buffered.
+        """Stop parsing while the client leaves replies unread; some input is still read, and buffered.
 
         Prevents a close from going undetected: without any reading, a disconnected client looks like a slow
-        one.
+        one. A close behind more input is detected by `check_peer`.
         """
         self.paused = True
         self.handle_input(Input.CLIENT_WRITE_PAUSED, self.record)
@@ -258,14 +303,21 @@
         """Return whether replies wait in this process because the client does not read them."""
         return unsent_bytes(self.transport) > 0
 
+    def check_peer(self) -> None:
+        """End the connection if its client has closed it while reading is paused."""
+        if self.transport.connected and peer_has_closed(self.transport):
+            self.transport.connectionLost(Failure(ConnectionDone()))
+
     def check_unread(self, then: str) -> None:
-        """Handle the input `then` if no received byte is unread and all output is sent.
+        """Handle the input `then` if no received byte is unread or unparsed, and all output is sent.
 
         Prevents closing the connection over commands that arrived while this process was slow, and the loss
         of replies by the reset that the kernel sends when a socket with unread bytes is closed. A connection
         with unsent output could not be closed at once, and commands that arrive until then would be lost.
         """
-        if self.transport.connected and not self.has_unsent_output() and not has_unread_input(self.transport):
+        self.write_now()
+        is_settled = not (self.waits_for_slice or self.has_unsent_output())
+        if self.transport.connected and is_settled and not has_unread_input(self.transport):
             self.handle_input(then, self.record)
 
     # Half-closes, called by the transport.
@@ -284,10 +336,13 @@
 
     noisy = False
 
-    def __init__(self, handle_input: InputHandler, limits: Limits) -> None:
+    def __init__(
+        self, handle_input: InputHandler, limits: Limits, scheduler: InputScheduler | None = None
+    ) -> None:
         self.handle_input = handle_input
         self.limits = limits
+        self.scheduler = scheduler
 
     def buildProtocol(self, addr: IAddress | None) -> ClientProtocol:  # noqa: ARG002 - The signature is Twisted's.
         """Return the protocol for a new connection."""
-        return ClientProtocol(self.handle_input, self.limits)
+        return ClientProtocol(self.handle_input, self.limits, self.scheduler)
--- a/granitedock/service/counter_protocol.py
+++ b/granitedock/service/counter_protocol.py
@@ -13,6 +13,7 @@
 
 from granitedock.policy.types import Outcome
 from granitedock.service.callbacks import InputHandler
+from granitedock.service.input_scheduler import InputScheduler
 from granitedock.service.inputs import Input
 from granitedock.service.limits import Limits
 from granitedock.service.resp import ErrorReply, encode_command
@@ -44,8 +45,11 @@
 
     record: Any = None  # The state machine's `CounterConnection`.
 
-    def __init__(self, handle_input: InputHandler, limits: Limits) -> None:
+    def __init__(
+        self, handle_input: InputHandler, limits: Limits, scheduler: InputScheduler | None = None
+    ) -> None:
         super().__init__(limits.line, limits.value, limits.whole, limits.items, limits.depth)
+        self.scheduler = scheduler
         self.handle_input = handle_input
 
     def connectionMade(self) -> None:
@@ -57,9 +61,8 @@
         """Report the closed connection."""
         self.handle_input(Input.COUNTER_DISCONNECTED, self.record)
 
-    def dataReceived(self, data: bytes) -> None:
-        """Parse received bytes, and report a reply that has started and is incomplete."""
-        super().dataReceived(data)
+    def input_parsed(self) -> None:
+        """Report a reply that has started and is incomplete."""
         if not self.ignoring_input and self.has_partial_message():
             self.handle_input(Input.COUNTER_REPLY_STARTED, self.record)
 
--- a/granitedock/service/discovery_protocol.py
+++ b/granitedock/service/discovery_protocol.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Any, NamedTuple, Protocol
 
 import h11
@@ -14,12 +15,14 @@
 
 from granitedock.policy.types import EndpointStatus
 from granitedock.service.callbacks import InputHandler
+from granitedock.service.input_scheduler import InputScheduler
 from granitedock.service.inputs import Input
 from granitedock.service.json_lines import JsonLineReader
 from granitedock.service.limits import Limits
 from granitedock.service.resp import has_unread_input
 
 HTTP_OK = 200
+STEP_BYTES = 2048  # Of a list, handled in one step.
 STATUSES = {
     "in_service": EndpointStatus.READY,
     "terminating": EndpointStatus.DRAINING,
@@ -82,13 +85,27 @@
     transport: Any
     record: Any = None  # A `WatchRecord`, set before the connection is established.
 
-    def __init__(self, handle_input: InputHandler, address: str, limits: Limits) -> None:
-        """Create the protocol; `address` is the address of discovery, for the Host header."""
+    def __init__(
+        self,
+        handle_input: InputHandler,
+        address: str,
+        limits: Limits,
+        scheduler: InputScheduler | None = None,
+    ) -> None:
+        """Create the protocol; `address` is the address of discovery, for the Host header.
+
+        With a scheduler, input that takes longer than a slice of time is handled in further slices.
+        """
         self.handle_input = handle_input
         self.address = address
+        self.scheduler = scheduler
         self.http = h11.Connection(h11.CLIENT)
         self.reader = JsonLineReader(limits.document)
+        self.steps: Iterator[None] | None = (
+            None  # Handles the input received so far; None once it is handled.
+        )
         self.is_malformed = False
+        self.response_ended = False
 
     def connectionMade(self) -> None:
         """Request all changes that are newer than the current list."""
@@ -107,7 +124,7 @@
         self.handle_input(Input.WATCH_DISCONNECTED, self.record)
 
     def dataReceived(self, data: bytes) -> None:
-        """Parse received bytes, and abort the watch if they are invalid or the response has ended.
+        """Handle received bytes, and abort the watch if they are invalid or the response has ended.
 
         Prevents the use of an invalid list, of an invalid response and of one that never ends: the current
         list remains in use, the watch is reopened, and the reason is logged. A reset does not end a list: no
@@ -115,42 +132,70 @@
         """
         if self.is_malformed:
             return
+        self.http.receive_data(data)
+        if self.steps is not None:
+            return  # The scheduler continues, also with these bytes.
+        self.steps = self.read_events()
+        self.run_steps(None if self.scheduler is None else self.scheduler.read_deadline())
+
+    def run_steps(self, deadline: float | None) -> None:
+        """Handle input until `deadline` on the scheduler's clock, one step at least; wait if more is left."""
         try:
-            response_ended = self.read_events(data)
+            for _ in self.steps or ():
+                if self.scheduler is not None and deadline is not None and self.scheduler.clock() >= deadline:
+                    self.transport.pauseProducing()
+                    self.scheduler.add_new(self)
+                    return
         except (h11.RemoteProtocolError, *FORMAT_ERRORS) as error:
             self.is_malformed = True
             self.handle_input(Input.WATCH_MALFORMED, self.record, f"{type(error).__name__}: {error}")
             self.abort()
             return
-        if response_ended:
+        self.steps = None
+        if self.response_ended:
             self.abort()
         elif self.reader.has_partial_document():
             self.handle_input(Input.WATCH_LIST_STARTED, self.record)
 
-    def read_events(self, data: bytes) -> bool:
-        """Parse HTTP events, and return whether the response has ended.
+    def continue_parsing(self, deadline: float) -> None:
+        """Handle input that waits, until `deadline`. Called by the scheduler."""
+        if self.transport.connected and not self.is_malformed:
+            self.transport.resumeProducing()
+            self.run_steps(deadline)
+
+    def discard_input(self) -> None:
+        """Reset the connection, as handling failed with an error. Called by the scheduler."""
+        self.is_malformed = True
+        self.abort()
+
+    def read_events(self) -> Iterator[None]:
+        """Handle the HTTP events of the bytes received so far; yields after each step.
 
         Raises h11.RemoteProtocolError or one of FORMAT_ERRORS if the input is invalid.
         """
-        self.http.receive_data(data)
         while (event := self.http.next_event()) is not h11.NEED_DATA:
             if isinstance(event, h11.Response) and event.status_code != HTTP_OK:
                 reason = f"status {event.status_code}"
                 raise ValueError(reason)
             if isinstance(event, h11.Data):
-                self.read_lists(bytes(event.data))
+                yield from self.read_lists(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
-                return True
-        return False
+                self.response_ended = True
+                return
+            yield
 
-    def read_lists(self, data: bytes) -> None:
+    def read_lists(self, data: bytes) -> Iterator[None]:
         """Report each list that `data` completes, and each empty line, which is a heartbeat.
 
-        Raises one of FORMAT_ERRORS if a list is invalid or too long.
+        Yields after each piece and each list; a single list is parsed and applied in one step. Raises one of
+        FORMAT_ERRORS if a list is invalid or too long.
         """
-        for document in self.reader.read(data):
-            update = None if document is None else parse_endpoint_list(document)
-            self.handle_input(Input.ENDPOINTS_RECEIVED, self.record, update)
+        for start in range(0, len(data), STEP_BYTES):
+            for document in self.reader.read(data[start : start + STEP_BYTES]):
+                update = None if document is None else parse_endpoint_list(document)
+                self.handle_input(Input.ENDPOINTS_RECEIVED, self.record, update)
+                yield
+            yield
 
     # Effects of the state machine.
 
--- a/granitedock/service/effects.py
+++ b/granitedock/service/effects.py
@@ -45,13 +45,19 @@
         self.start_timer = reactor.timer_queue.add
         self.exit_hooks: list[Callable[[], object]] = []  # Called in this order before the process exits.
         self.hosts = self.connector(
-            lambda: HostProtocol(handle_input, limits), Input.HOST_DISCONNECTED, limits.connect_ms
+            lambda: HostProtocol(handle_input, limits, reactor.input_scheduler),
+            Input.HOST_DISCONNECTED,
+            limits.connect_ms,
         )
         self.counter = self.connector(
-            lambda: CounterProtocol(handle_input, limits), Input.COUNTER_DISCONNECTED, limits.connect_ms
+            lambda: CounterProtocol(handle_input, limits, reactor.input_scheduler),
+            Input.COUNTER_DISCONNECTED,
+            limits.connect_ms,
         )
         self.watch = self.connector(
-            lambda: DiscoveryWatchProtocol(handle_input, self.addresses.discovery, limits),
+            lambda: DiscoveryWatchProtocol(
+                handle_input, self.addresses.discovery, limits, reactor.input_scheduler
+            ),
             Input.WATCH_DISCONNECTED,
             limits.watch_connect_ms,
         )
--- a/granitedock/service/gateway_service.py
+++ b/granitedock/service/gateway_service.py
@@ -156,7 +156,7 @@
         Raises CannotListenError if the port cannot be opened and ValueError if its number is invalid.
         """
         host, _, port = self.listen_address.rpartition(":")
-        factory = ClientProtocolFactory(self.handle_input, self.limits)
+        factory = ClientProtocolFactory(self.handle_input, self.limits, self.reactor.input_scheduler)
         self.handle_input(Input.START)
         self.effects.port = ClientPort(int(port), factory, host.strip("[]"), self.reactor, self.limits)
         self.effects.port.startListening()
--- a/granitedock/service/host_protocol.py
+++ b/granitedock/service/host_protocol.py
@@ -15,6 +15,7 @@
 
 from granitedock.policy.types import Outcome
 from granitedock.service.callbacks import InputHandler
+from granitedock.service.input_scheduler import InputScheduler
 from granitedock.service.inputs import Input
 from granitedock.service.limits import Limits
 from granitedock.service.resp import ErrorReply, has_unread_input, join_parts
@@ -67,8 +68,11 @@
 
     record: Any = None  # The state machine's `HostConnection`.
 
-    def __init__(self, handle_input: InputHandler, limits: Limits) -> None:
+    def __init__(
+        self, handle_input: InputHandler, limits: Limits, scheduler: InputScheduler | None = None
+    ) -> None:
         super().__init__(limits.line, limits.value, limits.whole, limits.items, limits.depth)
+        self.scheduler = scheduler
         self.handle_input = handle_input
         self.max_units = limits.true_units
         self.unsent_request: bytes | None = None  # Set until the transport takes the bytes of the request.
@@ -90,14 +94,16 @@
         self.handle_input(Input.HOST_DISCONNECTED, self.record)
 
     def dataReceived(self, data: bytes) -> None:
-        """Parse received bytes, and report a response only after all bytes received with it are parsed.
+        """Parse received bytes, unless the connection is closing."""
+        if not self.ignoring_input:
+            super().dataReceived(data)
+
+    def input_parsed(self) -> None:
+        """Report a response after all bytes received with it are parsed.
 
         Prevents the reuse of a connection on which further bytes follow the response: the report states
         whether the connection is clean.
         """
-        if self.ignoring_input:
-            return
-        super().dataReceived(data)
         if self.response is not None:
             response = self.response
             self.response = None
@@ -127,7 +133,7 @@
             self.reject_input(INVALID_RESPONSE)
 
     def malformed(self, reason: str) -> None:
-        """Record why the input is not a valid response; `dataReceived` reports it."""
+        """Record why the input is not a valid response; `input_parsed` reports it."""
         self.malformed_reason = reason
 
     # Effects of the state machine.
--- a/granitedock/service/in_flight_requests.py
+++ b/granitedock/service/in_flight_requests.py
@@ -120,7 +120,7 @@
             plan,
             customer,
             context.now,
-            self._deadline(parsed, request_class),
+            self._deadline(client, parsed, request_class),
             parsed.units,
             parsed.subset_size,
             subset_start=parsed.subset_start,
@@ -130,7 +130,9 @@
         )
         self._admit(client, request, parsed)
 
-    def _deadline(self, parsed: ParsedRequest, request_class: RequestClass) -> float:
+    def _deadline(
+        self, client: ClientConnection, parsed: ParsedRequest, request_class: RequestClass
+    ) -> float:
         """Return the time by which the request must be answered, in Unix ms.
 
         The client's timeout runs from the last byte that it sent. That byte may have waited for an
@@ -138,13 +140,15 @@
         0.6 to 0.9 s of the timeout had already elapsed, and requests were lost (on herd+mass). The deadline,
         and with it the watchdog, therefore counts from the earliest possible arrival. This keeps the reply
         within the client's timeout however long the request waited; the cost is that requests read during the
-        start have that much less time.
+        start have that much less time. A request whose time is over when it is parsed is rejected at once.
         """
         context = self.context
         # The deadline of the request class prevents requests from being kept for hours.
         remaining_ms = min(parsed.time_left_ms, request_class.deadline_ms)
         starting = self.lifecycle.state is STARTING
-        arrived_at = context.process_started_at if starting else context.earliest_arrival
+        arrived_at = min(context.earliest_arrival, client.link.earliest_arrival_ms)
+        if starting:
+            arrived_at = context.process_started_at
         return max(context.now, arrived_at + max(remaining_ms / 2, remaining_ms - context.limits.margin_ms))
 
     def _admit(self, client: ClientConnection, request: InFlightRequest, parsed: ParsedRequest) -> None:
@@ -157,6 +161,7 @@
         self.reserved_bytes += request.reserved_bytes
         if (
             self.lifecycle.rejects_requests
+            or request.deadline <= context.now
             or len(self.in_flight) > limits.requests
             or self.reserved_bytes + self.replies.buffered_bytes > limits.held
             or len(client.pending) > limits.queue
--- a/granitedock/service/listener.py
+++ b/granitedock/service/listener.py
@@ -1,14 +1,31 @@
-"""The listening socket for clients."""
+"""The listening socket for clients, and the transports of accepted connections."""
 
 from __future__ import annotations
 
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.interfaces import IReactorFDSet
+from twisted.internet.main import CONNECTION_LOST
 from twisted.internet.protocol import ServerFactory
-from twisted.internet.tcp import Port
+from twisted.internet.tcp import Port, Server
 from twisted.python.failure import Failure
 
-from granitedock.service.limits import Limits
+from granitedock.service.limits import KIB, Limits
+
+READ_BYTES = 16 * KIB  # At once from a client, since input that waits to be parsed takes memory.
+
+
+class ClientTransport(Server):
+    """An accepted connection that is read in smaller pieces than Twisted's; output is buffered as there."""
+
+    def doRead(self) -> ConnectionLost | ConnectionDone | None:  # type: ignore[override]
+        """Read once, and pass the bytes to the protocol; returns why the connection is over, or None."""
+        try:
+            data = self.socket.recv(READ_BYTES)
+        except BlockingIOError:
+            return None
+        except OSError:
+            return CONNECTION_LOST
+        return self._dataReceived(data)
 
 
 class ClientPort(Port):
@@ -17,6 +34,8 @@
     Prevents a flood of new connections from delaying requests on open ones.
     """
 
+    transport = ClientTransport
+
     def __init__(
         self, port: int, factory: ServerFactory, interface: str, reactor: IReactorFDSet, limits: Limits
     ) -> None:
--- a/granitedock/service/ports.py
+++ b/granitedock/service/ports.py
@@ -78,6 +78,9 @@
 
     record: Any
     received_bytes: int  # All bytes received on the connection so far.
+    waits_for_slice: bool  # Whether received input waits for the input scheduler.
+    # The earliest time at which input that is parsed now may have arrived, Unix ms; infinity if unknown.
+    earliest_arrival_ms: float
 
     def send(self, data: bytes) -> None:
         """Write the data, or buffer it until the client reads."""
@@ -95,6 +98,10 @@
         """Return whether replies wait in this process because the client does not read them."""
         ...
 
+    def check_peer(self) -> None:
+        """End the connection if its client has closed it while reading is paused."""
+        ...
+
     def check_unread(self, then: Input) -> None:
         """Handle the input `then` if no received byte is unread and all output is sent."""
         ...
--- a/granitedock/service/reactor.py
+++ b/granitedock/service/reactor.py
@@ -1,4 +1,4 @@
-"""Twisted's epoll reactor with monotonic timers, the timer queue of the gateway and recorded poll times."""
+"""Twisted's epoll reactor with monotonic timers, recorded poll times, and the gateway's timers and input."""
 
 from __future__ import annotations
 
@@ -8,6 +8,8 @@
 
 from twisted.internet.epollreactor import EPollReactor
 
+from granitedock.service.input_scheduler import InputScheduler
+from granitedock.service.socket_queue import ms_since_last_data
 from granitedock.service.timer_queue import TimerQueue
 
 
@@ -39,6 +41,7 @@
     """
 
     seconds = staticmethod(time.monotonic)
+    ms_since_last_data = staticmethod(ms_since_last_data)
 
     def __init__(self, timer_queue: TimerQueue, started_at_ms: float) -> None:
         """Create the reactor; `started_at_ms` is the time at which the process started, in Unix ms."""
@@ -52,6 +55,7 @@
         # service.
         self.iteration_ended: Callable[[float], None] | None = None
         self.polled = False
+        self.input_scheduler = InputScheduler(self)
         super().__init__()
         self._poller = TimedPoller(self._poller, self.poll_started, self.poll_ended)
 
@@ -65,16 +69,19 @@
         self.polled = True
         self.earliest_arrival_ms = self.last_poll_ended_ms
         self.last_poll_ended_ms = self.timer_queue.clock()
+        self.input_scheduler.poll_ended()
 
     def timeout(self) -> float | None:
-        """Return the longest wait of a poll, in seconds, until the first timer of either kind, or None."""
-        twisted_s = super().timeout()
-        queue_s = self.timer_queue.seconds_until_next()
-        if queue_s is None:
-            return twisted_s
-        return queue_s if twisted_s is None else min(twisted_s, queue_s)
+        """Return the longest wait of a poll, in seconds: until the first timer or waiting input, or None."""
+        waits_s = (
+            super().timeout(),
+            self.timer_queue.seconds_until_next(),
+            self.input_scheduler.seconds_until_turn(),
+        )
+        return min((wait_s for wait_s in waits_s if wait_s is not None), default=None)
 
     def runUntilCurrent(self) -> None:
-        """Run the expired timers of Twisted, then those of the gateway."""
+        """Run the expired timers of Twisted, then those of the gateway, then a turn of waiting input."""
         super().runUntilCurrent()
         self.timer_queue.run_due()
+        self.input_scheduler.run_turn()
--- a/granitedock/service/resp_receiver.py
+++ b/granitedock/service/resp_receiver.py
@@ -6,12 +6,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any, TypeAlias
 
 from twisted.protocols.basic import LineReceiver
 
+from granitedock.service.input_scheduler import InputScheduler
 from granitedock.service.resp import LINE_END, ErrorReply, RespValue, join_parts, parse_length
 
+# Bytes in which the fast path looks for values before it hands them on; a pipelined command has some hundred.
+PARSE_WINDOW_BYTES = 2048
+STEPS_PER_LOOK_AT_CLOCK = 16  # Lines, of at most a KiB each, or texts.
 NULL_LENGTH = b"-1"
 NULL_BULK_STRING = b"$-1"
 
@@ -72,10 +77,14 @@
 class RespReceiver(LineReceiver):
     """Calls `value_received` for each complete value, and `malformed` once, after which input is ignored.
 
-    A value comes with the parts of its bytes, which line ends separate.
+    A value comes with the parts of its bytes, which line ends separate. With a scheduler, input that takes
+    longer than a slice of time is parsed in further slices; reading is paused meanwhile.
     """
 
     transport: Any
+    scheduler: InputScheduler | None = None  # None: all input is parsed when it is received.
+    # Whether input may wait before its first slice, when a poll reports much input on other connections.
+    shares_read_time = False
 
     def __init__(
         self, max_line_bytes: int, max_value_bytes: int, max_total_bytes: int, max_items: int, max_depth: int
@@ -94,7 +103,10 @@
         self.size_bytes = 0
         self.open_arrays: list[tuple[list[Any], int]] = []  # Incomplete arrays with their announced lengths.
         self.remaining_bytes = 0  # Missing bytes of the current bulk string and its line end.
-        self.chunks: list[bytes] = []  # Received pieces of the current bulk string.
+        self.text = bytearray()  # Received bytes of the current bulk string.
+        self.parsing = False
+        self.has_collected_output = False  # Written to the transport while input was parsed.
+        self.waits_for_slice = False  # Input is buffered, and the scheduler will continue.
         self.ignoring_input = False
         self.received_bytes = 0  # All bytes received on the connection so far.
 
@@ -106,13 +118,20 @@
         """Handle input that is not RESP2 or exceeds the limits."""
         raise NotImplementedError
 
+    def input_parsed(self) -> None:
+        """Handle the end of the input received so far: all complete values are handled."""
+
     def send(self, data: bytes) -> None:
         """Write now instead of in the next iteration of the event loop.
 
-        Bytes that the socket does not accept now are written then.
+        Bytes that the socket does not accept now are written then. While input of this connection is parsed,
+        its replies are collected and written together.
         """
         self.transport.write(data)
-        self.write_now()
+        if self.parsing:
+            self.has_collected_output = True
+        else:
+            self.write_now()
 
     def write_now(self) -> Exception | None:
         """Write what the transport buffers, and half-close the connection if that is to follow.
@@ -122,7 +141,7 @@
         return self.transport.doWrite() if self.transport.connected else None
 
     def has_partial_message(self) -> bool:
-        """Return whether a value is partly received."""
+        """Return whether a value is partly received, or input waits to be parsed."""
         return bool(self.parts or self._buffer)
 
     def reject_input(self, reason: str) -> None:
@@ -130,10 +149,12 @@
         self.ignoring_input = True
         self.parts = []
         self.open_arrays = []
-        self.chunks = []
+        self.text = bytearray()
         self.clearLineBuffer()
         self.malformed(reason)
 
+    # Received input, in slices of time.
+
     def dataReceived(self, data: bytes) -> None:
         """Parse received bytes, in a time that is linear in their number however they are cut.
 
@@ -143,38 +164,132 @@
         self.received_bytes += len(data)
         if self.ignoring_input:
             return
-        if self._busyReceiving or self.paused:
+        if self.parsing or self.paused or self.waits_for_slice:
             self._buffer += data
+        elif self.scheduler is None:
+            self.parse_input(data, None)
+            self.input_parsed()
+        elif self.shares_read_time and not self.scheduler.has_time_for_reads():
+            self._buffer += data
+            self.wait_for_slice(self.scheduler.add_new)
+        elif self.parse_input(data, self.scheduler.read_deadline()):
+            self.wait_for_slice(self.scheduler.add_backlogged)
+        else:
+            self.input_parsed()
+
+    def wait_for_slice(self, queue: Callable[[RespReceiver], None]) -> None:
+        """Pause reading, and queue this connection at the scheduler by `queue`, unless it waits already."""
+        if not self.waits_for_slice:
+            self.waits_for_slice = True
+            self.transport.pauseProducing()
+            queue(self)
+
+    def continue_parsing(self, deadline: float) -> None:
+        """Parse buffered input until `deadline`, one value at least, and wait again if more is left.
+
+        Called by the scheduler.
+        """
+        self.waits_for_slice = False
+        if not self.transport.connected:
             return
-        self._busyReceiving = True
+        if self.accepts_input() and self.parse_input(b"", deadline) and self.scheduler is not None:
+            self.wait_for_slice(self.scheduler.add_backlogged)
+        else:
+            self.resume_reading()
+            self.input_parsed()
+
+    def resume_reading(self) -> None:
+        """Read further input, unless earlier input is not parsed yet."""
+        if not (self.paused or self.waits_for_slice):
+            self.transport.resumeProducing()
+
+    def resumeProducing(self) -> None:
+        """Parse further input after a pause."""
+        self.paused = False
+        if not self._buffer or self.ignoring_input:
+            self.resume_reading()
+        elif self.scheduler is not None:
+            self.wait_for_slice(self.scheduler.add_backlogged)
+        else:
+            self.transport.resumeProducing()
+            self.dataReceived(b"")
+
+    def discard_input(self) -> None:
+        """Reset the connection, as parsing failed with an error. Called by the scheduler."""
+        self.ignoring_input = True
+        self.transport.abortConnection()
+
+    def parse_input(self, data: bytes, deadline: float | None) -> bool:
+        """Parse the buffered bytes and the data, and buffer what is left.
+
+        Returns whether the deadline has passed with input left that may be complete.
+        """
+        received = self._buffer + data if self._buffer else data
+        self._buffer = b""
+        self.parsing = True
         try:
-            if not (self.parts or self._buffer) and len(data) <= self.max_total_bytes:
-                data = self.receive_simple_values(data)
-            if data or self._buffer:
-                self.receive_lines(data)
+            position = self.receive_values(received, deadline)
         finally:
-            self._busyReceiving = False
+            self.parsing = False
+        if not self.ignoring_input:
+            # While values were handled, further bytes may have been buffered.
+            self._buffer = received[position:] + self._buffer
+        if self.has_collected_output:
+            self.has_collected_output = False
+            self.write_now()
+        return bool(self._buffer) and self.accepts_input() and self.is_past(deadline)
+
+    def is_past(self, deadline: float | None) -> bool:
+        """Return whether this time of the scheduler's clock has come."""
+        return deadline is not None and self.scheduler is not None and self.scheduler.clock() >= deadline
 
-    def receive_simple_values(self, data: bytes) -> bytes:
-        """Pass on the complete, simple values at the start of the data, and return the bytes after them.
+    def accepts_input(self) -> bool:
+        """Return whether further input is parsed now."""
+        return not (self.paused or self.ignoring_input or self.transport.disconnecting)
 
-        This fast path covers nearly all input.
+    def receive_values(self, received: bytes, deadline: float | None) -> int:
+        """Handle values until the input is incomplete, is no longer accepted, or the deadline has passed.
+
+        Returns the position of the first byte that is not handled. The fast path is tried at the boundary of
+        values until it fails.
+        """
+        position = 0
+        if not self.parts:
+            while position < len(received) and self.accepts_input():
+                used_bytes = self.receive_simple_values(received, position, deadline)
+                position += used_bytes
+                if not used_bytes:
+                    break
+                if self.is_past(deadline):
+                    return position
+        return self.receive_lines(received, position, deadline)
+
+    def receive_simple_values(self, received: bytes, start: int, deadline: float | None) -> int:
+        """Handle the complete, simple values from `start` on; returns the number of their bytes.
+
+        This fast path covers nearly all input. A long value is looked for if the first bytes have none.
         """
-        values, rest = parse_simple_values(data, self.max_items, self.max_value_bytes)
+        window = received[start : start + PARSE_WINDOW_BYTES]
+        values, rest = parse_simple_values(window, self.max_items, self.max_value_bytes)
+        if not values and len(received) - start > len(window):
+            window = received[start : start + self.max_total_bytes]
+            values, rest = parse_simple_values(window, self.max_items, self.max_value_bytes)
         for number, (value, parts) in enumerate(values):
-            if self.paused or self.ignoring_input:
-                return b"".join(join_parts(later) for _, later in values[number:]) + rest
+            if not self.accepts_input() or (number and self.is_past(deadline)):
+                unhandled_bytes = sum(len(join_parts(later)) for _, later in values[number:])
+                return len(window) - len(rest) - unhandled_bytes
             self.value_received(value, parts)
-        return rest
+        return len(window) - len(rest)
 
     # The slow path: line by line.
 
-    def receive_lines(self, data: bytes) -> None:
-        """Parse the buffered bytes and the data, and buffer what is left."""
-        received = self._buffer + data
-        self._buffer = b""
-        position = 0
+    def receive_lines(self, received: bytes, position: int, deadline: float | None) -> int:
+        """Handle lines and texts from `position` on; returns the position of the first unhandled byte."""
+        steps = 0
         while position < len(received) and self.accepts_input():
+            steps += 1
+            if steps % STEPS_PER_LOOK_AT_CLOCK == 0 and self.is_past(deadline):
+                break
             if not self.line_mode:
                 text = received[position : position + self.remaining_bytes]
                 position += len(text)
@@ -189,13 +304,7 @@
                 self.lineLengthExceeded(received[position:])
             else:
                 break
-        if not self.ignoring_input:
-            # While values were handled, further bytes may have been buffered.
-            self._buffer = received[position:] + self._buffer
-
-    def accepts_input(self) -> bool:
-        """Return whether further input is parsed now."""
-        return not (self.paused or self.ignoring_input or self.transport.disconnecting)
+        return position
 
     def lineLengthExceeded(self, _line: bytes) -> None:
         """Reject a line that is too long."""
@@ -252,12 +361,12 @@
 
     def rawDataReceived(self, data: bytes) -> None:
         """Handle bytes of the current bulk string and its line end, at most `remaining_bytes`."""
-        self.chunks.append(data)
+        self.text += data
         self.remaining_bytes -= len(data)
         if self.remaining_bytes:
             return
-        text = b"".join(self.chunks)
-        self.chunks = []
+        text = bytes(self.text)
+        self.text = bytearray()
         if not text.endswith(LINE_END):
             self.reject_input(BULK_STRING_NOT_ENDED)
             return
--- a/granitedock/service/socket_queue.py
+++ b/granitedock/service/socket_queue.py
@@ -1,4 +1,4 @@
-"""The send queue of a connection in the kernel. Sources: tcp(7), SIOCOUTQ; socket(7), SO_LINGER."""
+"""What the kernel knows of a connection. Sources: tcp(7), SIOCOUTQ, TCP_INFO; socket(7), SO_LINGER."""
 
 from __future__ import annotations
 
@@ -6,11 +6,15 @@
 import sys
 import termios
 from fcntl import ioctl
-from socket import SO_LINGER, SOL_SOCKET
+from socket import IPPROTO_TCP, SO_LINGER, SOL_SOCKET, TCP_INFO
 from typing import Any
 
 SIOCOUTQ = termios.TIOCOUTQ  # Linux has one number for both.
 INT_BYTES = 4
+# States in which the peer's FIN or RST has arrived, as the first byte of `struct tcp_info`.
+TIME_WAIT, CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING = (bytes([state]) for state in (6, 7, 8, 9, 11))
+CLOSED_BY_PEER = frozenset({TIME_WAIT, CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING})
+LAST_DATA_RECEIVED = slice(52, 56)  # `tcpi_last_data_recv` in `struct tcp_info`.
 NO_LINGER = struct.pack("ii", 1, 0)  # On, for 0 s.
 
 
@@ -31,6 +35,30 @@
     return int.from_bytes(queued, sys.byteorder)
 
 
+def peer_has_closed(transport: Any) -> bool:
+    """Return whether the peer has closed its direction of a connection, or reset it, read or not.
+
+    Unread input hides a close from a read. A socket that cannot say counts as open.
+    """
+    try:
+        state = transport.getHandle().getsockopt(IPPROTO_TCP, TCP_INFO, 1)
+    except OSError:
+        return False
+    return state in CLOSED_BY_PEER
+
+
+def ms_since_last_data(transport: Any) -> float:
+    """Return how long ago the latest data arrived, in ms; without data, the connection.
+
+    Returns 0 for a socket that cannot say.
+    """
+    try:
+        info = transport.getHandle().getsockopt(IPPROTO_TCP, TCP_INFO, LAST_DATA_RECEIVED.stop)
+    except OSError:
+        return 0.0
+    return float(int.from_bytes(info[LAST_DATA_RECEIVED], sys.byteorder))
+
+
 def discard_on_close(transport: Any) -> None:
     """Have the kernel reset the connection and discard unsent bytes when it closes, also if the process ends.
 
--- a/tests/helpers/fake_gateway.py
+++ b/tests/helpers/fake_gateway.py
@@ -239,6 +239,10 @@
     def setsockopt(self, *_option):
         pass
 
+    def getsockopt(self, *_option):
+        """Return the state of an open connection."""
+        return b"\1"
+
     def take_written(self):
         """Return the bytes written since the last call."""
         data, self.written = self.written, b""
--- a/tests/helpers/loopback.py
+++ b/tests/helpers/loopback.py
@@ -108,7 +108,8 @@
 
     `listed` is whether discovery sends its first list at the start, `known` whether the platform file
     contains an endpoint list, and `configuration` an operators' file of the configuration service.
-    `host_buffer_bytes`, unless 0, bounds the receive buffers of the hosts.
+    `host_buffer_bytes`, unless 0, bounds the receive buffers of the hosts. With `slices_in_real_time` the
+    input scheduler's clock is real, so that long input is cut into slices.
     `exit_times_ms` lists the times at which the gateway ended the process.
     """
 
@@ -122,6 +123,7 @@
         known=True,
         configuration=None,
         host_buffer_bytes=0,
+        slices_in_real_time=False,
         **settings,
     ):
         self.now_ms, self.next_id, self.version = START_MS, 1, 1
@@ -131,6 +133,10 @@
         # timeout expired between two steps on a busy machine, and no connection was retried because the
         # test's clock had not advanced.
         self.reactor.seconds = lambda: self.now_ms / 1000.0
+        if not slices_in_real_time:
+            # Input is parsed as though parsing took no time.
+            self.reactor.input_scheduler.clock = lambda: self.now_ms / 1000.0
+        self.reactor.ms_since_last_data = lambda _transport: 0.0  # The kernel's clock is real.
         self.hosts = [Server(buffer_bytes=host_buffer_bytes) for _ in range(hosts)]
         self.counter, self.discovery = Server(), Server()
         self.counter_peers, self.watches, self.counter_answers, self.delayed_connects = [], [], True, deque()
@@ -261,6 +267,10 @@
             and self.run_loop()
         )
 
+    def has_waiting_input(self):
+        """Return whether received input waits for the input scheduler."""
+        return self.reactor.input_scheduler.seconds_until_turn() is not None
+
     def unsent_bytes_to_clients(self):
         """Return how many bytes of replies wait in the gateway's process for clients to read."""
         return sum(unsent_bytes(client.link.transport) for client in self.state_machine.clients.connections)
--- a/tests/service/test_event_loop_hold.py
+++ b/tests/service/test_event_loop_hold.py
@@ -161,10 +161,11 @@
 
 
 def longest_iteration_s(gateway, iterations=12):
-    """Run iterations of the event loop, and return the longest processor time of one."""
+    """Run iterations of the event loop until no input waits, and return the longest processor time of one."""
     timer = HoldTimer()
-    for _ in range(iterations):
+    while iterations > 0 or gateway.has_waiting_input():
         timer.measure(gateway.reactor.iterate, 0)
+        iterations -= 1
     return timer.longest_s
 
 
@@ -195,7 +196,7 @@
     for number, name in enumerate(VALUES):
         directory = tmp_path / str(number)
         directory.mkdir()
-        gateway = LoopbackGateway(directory)
+        gateway = LoopbackGateway(directory, slices_in_real_time=True)
         try:
             peer = link(gateway)
             peer.send(flood(VALUES[name], ENDS[end]))
@@ -208,7 +209,7 @@
 @pytest.mark.parametrize("piece_bytes", [1, 3, 1000])
 def test_a_flood_in_pieces_costs_no_more_than_the_flood_at_once(tmp_path, piece_bytes):
     """Guards against work on all earlier bytes for each piece. Each piece is a read of its own."""
-    gateway = LoopbackGateway(tmp_path)
+    gateway = LoopbackGateway(tmp_path, slices_in_real_time=True)
     try:
         client = gateway.client()
         data = VALUES["ping"] * 300 + PARTIAL_COMMAND + b"$16\r\n"
@@ -224,7 +225,7 @@
 
 def test_bad_clients_that_send_commands_and_a_half_do_not_delay_the_answers_to_others(tmp_path):
     """Guards against the review's third case: twelve such clients stopped a gateway for seconds."""
-    gateway = LoopbackGateway(tmp_path, sockets=128)
+    gateway = LoopbackGateway(tmp_path, sockets=128, slices_in_real_time=True)
     try:
         usual = gateway.client()
         bad_clients = [gateway.client() for _ in range(12)]
@@ -237,6 +238,7 @@
         gateway.answer_from_host(host, usual)
         # The time after its deadline at which an answer counts as lost.
         assert time.thread_time() - started < 0.5
+        longest_iteration_s(gateway)
         assert [client.read() for client in bad_clients] == 12 * [999 * b"+PONG\r\n"]
     finally:
         gateway.close()
@@ -244,7 +246,7 @@
 
 def test_a_client_that_reads_late_holds_the_event_loop_neither_while_it_waits_nor_when_it_reads(tmp_path):
     """Guards against work on all unread replies for each further one, and against commands that are lost."""
-    gateway = LoopbackGateway(tmp_path)
+    gateway = LoopbackGateway(tmp_path, slices_in_real_time=True)
     try:
         client = gateway.client(buffer_bytes=4096)
         held_s, sent_bytes, rounds_without_progress = 0.0, 0, 0
--- a/tests/service/test_json_lines.py
+++ b/tests/service/test_json_lines.py
@@ -12,6 +12,7 @@
 from processor_time import MAX_HOLD_S, READ_BYTES, HoldTimer, frozen_heap
 
 from granitedock.service.discovery_protocol import DiscoveryWatchProtocol
+from granitedock.service.input_scheduler import InputScheduler
 from granitedock.service.inputs import Input
 from granitedock.service.json_lines import JsonLineReader, nesting_change
 from granitedock.service.limits import Limits
@@ -99,11 +100,16 @@
 
 
 class StubTransport:
+    connected = True
+
     def write(self, data):
         pass
 
-    def abortConnection(self):
-        pass
+    abortConnection = pauseProducing = resumeProducing = lambda self: None
+
+
+class StubPolls:
+    earliest_arrival_ms = last_poll_ended_ms = 0.0
 
 
 class StubWatch:
@@ -111,10 +117,14 @@
 
 
 def longest_read_s(body, chunk_bytes):
-    """Pass a chunked response to a watch; return the processor time of the longest read, and the inputs."""
+    """Pass a chunked response to a watch; return the processor time of the longest turn, and the inputs.
+
+    A turn handles a read, or input that waits.
+    """
     inputs = []
     limits = Limits.from_platform_file({"settings": {"Lanes": []}})
-    watch = DiscoveryWatchProtocol(lambda kind, *_: inputs.append(kind), "127.0.0.1:1", limits)
+    scheduler = InputScheduler(StubPolls())
+    watch = DiscoveryWatchProtocol(lambda kind, *_: inputs.append(kind), "127.0.0.1:1", limits, scheduler)
     watch.record, watch.transport = StubWatch(), StubTransport()
     watch.connectionMade()
     chunks = [b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces(body, chunk_bytes)]
@@ -123,6 +133,8 @@
     with frozen_heap():
         for data in pieces(head + b"".join(chunks), READ_BYTES):
             timer.measure(watch.dataReceived, data)
+            while scheduler.seconds_until_turn() is not None:
+                timer.measure(scheduler.run_turn)
     return timer.longest_s, inputs
 
 
