Commands that arrive in parts share a memory budget; beyond it they are rejected unread

Change: incomplete commands reserve their announced bytes (over 1 KiB) of one budget, an eighth of the free memory. Where it has no room the contents are read and dropped, and the command is answered -BUSY when it ends: it was never sent, and the connection and what follows on it stay. A request with over 128 fields is rejected before its fields are split (5 MB of tables for one request).

Why it works: what a connection holds beyond 1 KiB and one read is counted before it arrives.

--- a/granitedock/service/client_commands.py
+++ b/granitedock/service/client_commands.py
@@ -24,6 +24,7 @@
 
 PONG = b"+PONG\r\n"
 CLOSING = b"-ERR closing\r\n"
+REJECTED = b"-BUSY\r\n"
 
 
 class ClientCommands:
@@ -71,6 +72,15 @@
         else:
             self.replies.reply(client, b"-ERR unknown command\r\n")
 
+    def shed(self, client: ClientConnection) -> None:
+        """Reject a command whose contents were dropped, because too many are received in part.
+
+        It was never sent to a host, so that it may be repeated.
+        """
+        if self.clients.accepts_requests(client):
+            self.context.counts[counter_names.COMMANDS_SHED] += 1
+            self.replies.reply(client, REJECTED)
+
     def _ping(self, client: ClientConnection) -> None:
         if self.lifecycle.state is LifecycleState.STARTING:
             entry = CommandReply()
--- a/granitedock/service/client_protocol.py
+++ b/granitedock/service/client_protocol.py
@@ -23,7 +23,7 @@
 from granitedock.service.input_scheduler import InputScheduler, PollTimes
 from granitedock.service.inputs import Input
 from granitedock.service.limits import Limits
-from granitedock.service.listener import READ_BYTES
+from granitedock.service.memory_budget import MemoryBudget
 from granitedock.service.resp import encode_bulk_string, has_unread_input, join_parts
 from granitedock.service.resp_receiver import RespReceiver
 from granitedock.service.socket_queue import peer_has_closed, unsent_bytes
@@ -34,6 +34,7 @@
 REQUEST_WORD_COUNTS = (4, 5)  # Command, customer, id, fields, and an optional body.
 PARTS_BEFORE_FIELDS = 7  # The array header, and the length and text of each of three words.
 PARTS_WITH_FIELDS = 9  # Also the length and text of the fields.
+MAX_FIELDS = 128  # The platform defines eight; more are passed on unread.
 HEX_CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}").fullmatch
 CUSTOMER_NUMBERS = 2**33  # Customers are numbered from 0.
 REQUEST_ID = re.compile(rb"[!-~]{1,64}").fullmatch
@@ -49,6 +50,7 @@
 WRONG_WORD_COUNT = "a task has four words or five"
 INVALID_CUSTOMER = "no such customer"
 INVALID_ID = "a task has an id"
+TOO_MANY_FIELDS = "too many fields"
 DUPLICATE_FIELD = "a name stands twice"
 INVALID_NUMBER = "no such number"
 INVALID_UNITS = "no such units"
@@ -92,6 +94,8 @@
 
     Raises ValueError for an invalid field and KeyError for a missing one.
     """
+    if text.count(b",") >= MAX_FIELDS:
+        raise ValueError(TOO_MANY_FIELDS)
     pairs = [pair.split(b"=", 1) for pair in text.split(b",")]
     fields: dict[bytes, bytes] = dict(pairs)  # A field without "=" raises ValueError.
     if len(fields) != len(pairs):
@@ -156,10 +160,16 @@
     shares_read_time = True
 
     def __init__(
-        self, handle_input: InputHandler, limits: Limits, scheduler: InputScheduler | None = None
+        self,
+        handle_input: InputHandler,
+        limits: Limits,
+        scheduler: InputScheduler | None = None,
+        budget: MemoryBudget | None = None,
     ) -> None:
+        """Create the protocol; `budget` bounds the commands that all connections have received in part."""
         super().__init__(limits.line, limits.value, limits.whole, limits.items, 1)
         self.scheduler = scheduler
+        self.budget = budget
         self.handle_input = handle_input
         self.limits = limits
         # The earliest time at which input that is parsed now may have arrived, Unix ms.
@@ -180,6 +190,7 @@
 
     def connectionLost(self, _reason: Failure | None = None) -> None:
         """Notify the state machine that the connection is lost."""
+        self.release_budget()
         record = self.record
         self.record = None  # Breaks a reference cycle that otherwise lives until a garbage collection.
         self.handle_input(Input.CLIENT_DISCONNECTED, record)
@@ -213,7 +224,7 @@
         if self.may_wait_in_kernel:
             arrival_ms = min(arrival_ms, self.kernel_drained_at_ms)
         self.earliest_arrival_ms = min(self.earliest_arrival_ms, arrival_ms) if self._buffer else arrival_ms
-        self.may_wait_in_kernel = read_bytes >= READ_BYTES
+        self.may_wait_in_kernel = read_bytes >= self.limits.read
         if not self.may_wait_in_kernel:
             self.kernel_drained_at_ms = polls.last_poll_ended_ms
 
@@ -242,6 +253,10 @@
         else:
             self.handle_input(Input.COMMAND_RECEIVED, self.record, value[0].upper())
 
+    def value_shed(self) -> None:
+        """Pass on that a command was dropped for want of memory."""
+        self.handle_input(Input.COMMAND_SHED, self.record)
+
     def malformed(self, reason: str) -> None:
         """Notify the state machine of malformed input."""
         self.handle_input(Input.CLIENT_MALFORMED, self.record, reason)
@@ -342,7 +357,8 @@
         self.handle_input = handle_input
         self.limits = limits
         self.scheduler = scheduler
+        self.budget = MemoryBudget(limits.partial)
 
     def buildProtocol(self, addr: IAddress | None) -> ClientProtocol:  # noqa: ARG002 - The signature is Twisted's.
         """Return the protocol for a new connection."""
-        return ClientProtocol(self.handle_input, self.limits, self.scheduler)
+        return ClientProtocol(self.handle_input, self.limits, self.scheduler, self.budget)
--- a/granitedock/service/counter_names.py
+++ b/granitedock/service/counter_names.py
@@ -14,6 +14,7 @@
 CLIENT_GONE = "client_gone"
 SLOW_READERS = "slow_readers"
 MALFORMED = "malformed"
+COMMANDS_SHED = "commands_shed"  # Rejected unread, as commands that arrive in parts take too much memory.
 
 # Requests.
 TAKEN = "taken"
--- a/granitedock/service/dispatcher.py
+++ b/granitedock/service/dispatcher.py
@@ -238,6 +238,7 @@
     Input.CLIENT_WRITE_RESUMED: lambda gateway, client: gateway.replies.write_resumed(client),
     Input.CLIENT_MALFORMED: lambda gateway, client, reason: gateway.clients.malformed(client, reason),
     Input.COMMAND_RECEIVED: lambda gateway, client, name: gateway.commands.received(client, name),
+    Input.COMMAND_SHED: lambda gateway, client: gateway.commands.shed(client),
     Input.REQUEST_RECEIVED: lambda gateway, client, parsed: gateway.requests.received(client, parsed),
     Input.REQUEST_WATCHDOG: lambda gateway, request: gateway.requests.watchdog_fired(request),
     Input.HOST_CONNECTED: lambda gateway, connection, link: gateway.hosts.connected(connection, link),
--- a/granitedock/service/inputs.py
+++ b/granitedock/service/inputs.py
@@ -29,6 +29,7 @@
     CLIENT_WRITE_RESUMED = "client write resumed"
     CLIENT_MALFORMED = "client malformed"
     COMMAND_RECEIVED = "command received"
+    COMMAND_SHED = "command shed"  # Its contents were dropped for want of memory.
     REQUEST_RECEIVED = "request received"
     REQUEST_WATCHDOG = "request watchdog"
 
--- a/granitedock/service/limits.py
+++ b/granitedock/service/limits.py
@@ -12,6 +12,7 @@
 KIB = 1024
 MIB = 1024 * KIB
 PROCESS_BYTES = 26 * MIB  # Memory of the process itself, with its connections and records.
+MIN_READ_BYTES, MAX_READ_BYTES = 2 * KIB, 16 * KIB
 DEFAULT_MEMORY_MB = 192
 DEFAULT_SOCKETS = 1024
 SPARE_SOCKETS = 20  # For standard streams, the reactor, the listener and the watch, with some in reserve.
@@ -41,6 +42,8 @@
     document: int = 4 * MIB  # One endpoint list with all its lines.
     held: int  # All requests in flight and all buffered replies.
     unread: int = 256 * KIB  # Replies that one client leaves unread.
+    partial: int  # All commands that are received in part.
+    read: int  # One read from a client.
     # Counts.
     items: int = 64  # Elements of one array.
     depth: int = 4  # Levels of nested arrays.
@@ -121,11 +124,15 @@
         shutdown_ms = min(longest_ms, DEFAULT_DEADLINE_MS)
         safety = settings.get("Safety") or {}
         drain_grace_ms = float(safety.get("DrainGraceMs", DEFAULT_DRAIN_GRACE_MS))
+        free_bytes = max(memory_bytes / 8, memory_bytes - PROCESS_BYTES)
+        max_clients = int(links * 0.5)
         return cls(
-            held=int(max(memory_bytes / 32, (memory_bytes - PROCESS_BYTES) / 4)),
+            held=int(free_bytes / 4),
+            partial=int(free_bytes / 8),
+            read=int(min(MAX_READ_BYTES, max(MIN_READ_BYTES, free_bytes / 8 / max_clients))),
             requests=min(max_requests, int(memory_bytes / BYTES_PER_REQUEST)),
             client_links=int(links * 0.45),
-            client_most=int(links * 0.5),
+            client_most=max_clients,
             client_over=int(links * 0.6),
             host_links=int(links * 0.4),
             counter_links=counter_links,
--- a/granitedock/service/listener.py
+++ b/granitedock/service/listener.py
@@ -9,18 +9,18 @@
 from twisted.internet.tcp import Port, Server
 from twisted.python.failure import Failure
 
-from granitedock.service.limits import KIB, Limits
-
-READ_BYTES = 16 * KIB  # At once from a client, since input that waits to be parsed takes memory.
+from granitedock.service.limits import Limits
 
 
 class ClientTransport(Server):
-    """An accepted connection that is read in smaller pieces than Twisted's; output is buffered as there."""
+    """An accepted connection, read in smaller pieces than Twisted's as input that waits takes memory."""
+
+    server: ClientPort
 
     def doRead(self) -> ConnectionLost | ConnectionDone | None:  # type: ignore[override]
         """Read once, and pass the bytes to the protocol; returns why the connection is over, or None."""
         try:
-            data = self.socket.recv(READ_BYTES)
+            data = self.socket.recv(self.server.read_bytes)
         except BlockingIOError:
             return None
         except OSError:
@@ -41,6 +41,7 @@
     ) -> None:
         super().__init__(port, factory, limits.backlog, interface, reactor)
         self.max_accepts_per_iteration = limits.accepts
+        self.read_bytes = limits.read
 
     def doRead(self) -> None:
         """Accept connections from the backlog, up to the limit for one iteration of the event loop."""
--- a/granitedock/service/resp_receiver.py
+++ b/granitedock/service/resp_receiver.py
@@ -12,11 +12,13 @@
 from twisted.protocols.basic import LineReceiver
 
 from granitedock.service.input_scheduler import InputScheduler
+from granitedock.service.memory_budget import MemoryBudget
 from granitedock.service.resp import LINE_END, ErrorReply, RespValue, join_parts, parse_length
 
 # Bytes in which the fast path looks for values before it hands them on; a pipelined command has some hundred.
 PARSE_WINDOW_BYTES = 2048
 STEPS_PER_LOOK_AT_CLOCK = 16  # Lines, of at most a KiB each, or texts.
+UNRESERVED_BYTES = 1024  # Of each value, which the budget does not count.
 NULL_LENGTH = b"-1"
 NULL_BULK_STRING = b"$-1"
 
@@ -85,6 +87,7 @@
     scheduler: InputScheduler | None = None  # None: all input is parsed when it is received.
     # Whether input may wait before its first slice, when a poll reports much input on other connections.
     shares_read_time = False
+    budget: MemoryBudget | None = None  # Bounds incomplete values of all connections; None: no bound.
 
     def __init__(
         self, max_line_bytes: int, max_value_bytes: int, max_total_bytes: int, max_items: int, max_depth: int
@@ -104,6 +107,8 @@
         self.open_arrays: list[tuple[list[Any], int]] = []  # Incomplete arrays with their announced lengths.
         self.remaining_bytes = 0  # Missing bytes of the current bulk string and its line end.
         self.text = bytearray()  # Received bytes of the current bulk string.
+        self.reserved_bytes = 0  # Of the budget, for the current value.
+        self.is_shed = False  # The budget has no room for the current value: its contents are dropped.
         self.parsing = False
         self.has_collected_output = False  # Written to the transport while input was parsed.
         self.waits_for_slice = False  # Input is buffered, and the scheduler will continue.
@@ -151,6 +156,7 @@
         self.open_arrays = []
         self.text = bytearray()
         self.clearLineBuffer()
+        self.release_budget()
         self.malformed(reason)
 
     # Received input, in slices of time.
@@ -314,16 +320,19 @@
         """Handle a line outside a bulk string, by its type byte."""
         type_byte = line[:1]
         payload = line[1:]
-        self.parts.append(line)
         self.size_bytes += len(line) + len(LINE_END)
         if self.size_bytes > self.max_total_bytes:
             self.reject_input(VALUE_TOO_LONG)
-        elif type_byte in (b"$", b"*"):
+            return
+        self.reserve_budget()
+        if not self.is_shed:
+            self.parts.append(line)
+        if type_byte in (b"$", b"*"):
             self.length_received(type_byte, payload)
         elif type_byte == b"+":
-            self.add_value(payload.decode("latin-1"))
+            self.add_value(None if self.is_shed else payload.decode("latin-1"))
         elif type_byte == b"-":
-            self.add_value(ErrorReply(payload))
+            self.add_value(None if self.is_shed else ErrorReply(payload))
         elif type_byte == b":" and payload.removeprefix(b"-").isdigit():
             self.add_value(int(payload))
         else:
@@ -348,6 +357,7 @@
         if length > self.max_value_bytes or self.size_bytes > self.max_total_bytes:
             self.reject_input(VALUE_TOO_LONG)
         else:
+            self.reserve_budget()
             self.setRawMode()
 
     def begin_array(self, count: int) -> None:
@@ -360,9 +370,16 @@
             self.add_value([])
 
     def rawDataReceived(self, data: bytes) -> None:
-        """Handle bytes of the current bulk string and its line end, at most `remaining_bytes`."""
+        """Handle bytes of the current bulk string and its line end, at most `remaining_bytes`.
+
+        Of a value that is shed, only the last bytes are kept, which hold the line end.
+        """
+        received_bytes = len(data)
+        if self.is_shed:
+            data = data[-len(LINE_END) :]
+            del self.text[: len(self.text) + len(data) - len(LINE_END)]
         self.text += data
-        self.remaining_bytes -= len(data)
+        self.remaining_bytes -= received_bytes
         if self.remaining_bytes:
             return
         text = bytes(self.text)
@@ -371,7 +388,8 @@
             self.reject_input(BULK_STRING_NOT_ENDED)
             return
         text = text[: -len(LINE_END)]
-        self.parts.append(text)
+        if not self.is_shed:
+            self.parts.append(text)
         self.setLineMode()
         self.add_value(text)
 
@@ -387,4 +405,37 @@
         parts = self.parts
         self.parts = []
         self.size_bytes = 0
-        self.value_received(value, parts)
+        if self.is_shed:
+            self.is_shed = False
+            self.value_shed()
+        else:
+            self.value_received(value, parts)
+        self.release_budget()
+
+    # The memory of values that arrive in several reads.
+
+    def value_shed(self) -> None:
+        """Handle the end of a value whose contents were dropped for want of memory."""
+        raise NotImplementedError
+
+    def reserve_budget(self) -> None:
+        """Reserve the announced bytes of the current value, or shed it if all connections hold too many.
+
+        The first bytes of each value are free.
+        """
+        missing_bytes = self.size_bytes - self.reserved_bytes
+        if self.budget is None or self.is_shed or self.size_bytes <= UNRESERVED_BYTES:
+            return
+        if self.budget.take(missing_bytes):
+            self.reserved_bytes += missing_bytes
+        else:
+            self.is_shed = True
+            self.parts = [b""]  # Not empty, as the value is not complete.
+            self.open_arrays = [([None] * len(array), count) for array, count in self.open_arrays]
+            self.release_budget()
+
+    def release_budget(self) -> None:
+        """Free the bytes that are reserved for the current value."""
+        if self.budget is not None:
+            self.budget.give_back(self.reserved_bytes)
+        self.reserved_bytes = 0
--- a/tests/helpers/loopback.py
+++ b/tests/helpers/loopback.py
@@ -16,7 +16,7 @@
 from granitedock.gateway_process import build_gateway
 from granitedock.service.clock import Clock
 from granitedock.service.reactor import GatewayReactor
-from granitedock.service.resp import encode_command
+from granitedock.service.resp import encode_command, has_unread_input
 from granitedock.service.socket_queue import unsent_bytes
 from granitedock.service.timer_queue import TimerQueue
 
@@ -124,6 +124,7 @@
         configuration=None,
         host_buffer_bytes=0,
         slices_in_real_time=False,
+        memory_mb=192,
         **settings,
     ):
         self.now_ms, self.next_id, self.version = START_MS, 1, 1
@@ -150,7 +151,7 @@
             "discovery": self.discovery.address,
             "counter": self.counter.address,
             "seed": "07",
-            "limits": {"sockets": sockets},
+            "limits": {"sockets": sockets, "memory_mb": memory_mb},
             "settings": platform_settings,
             "known": self.endpoint_list() if known else None,
         }
@@ -267,6 +268,24 @@
             and self.run_loop()
         )
 
+    def client_links(self):
+        """Return the protocols of the open client connections."""
+        return [client.link for client in self.state_machine.clients.connections]
+
+    @staticmethod
+    def partial_bytes(link):
+        """Return the bytes that the gateway holds of a connection's incomplete command."""
+        return len(link._buffer) + len(link.text) + sum(map(len, link.parts))
+
+    def has_unread_input_of(self, client):
+        """Return whether the gateway has yet to read input of this client."""
+        port = client.sock.getsockname()[1]
+        return any(
+            has_unread_input(link.transport)
+            for link in self.client_links()
+            if link.transport.getPeer().port == port
+        )
+
     def has_waiting_input(self):
         """Return whether received input waits for the input scheduler."""
         return self.reactor.input_scheduler.seconds_until_turn() is not None
--- a/tests/service/test_client_overload.py
+++ b/tests/service/test_client_overload.py
@@ -10,6 +10,7 @@
 from loopback import Peer
 
 from granitedock.service.resp import encode_command
+from granitedock.service.resp_receiver import UNRESERVED_BYTES
 
 PING = encode_command(b"PING")
 PONG = b"+PONG\r\n"
@@ -92,3 +93,55 @@
         gateway.run_loop()
         received += client.read()
     assert received.endswith(BUSY)
+
+
+# Commands that arrive in parts.
+
+
+@pytest.mark.parametrize("words", [1, 60])
+def test_commands_in_parts_take_a_bounded_memory_and_those_beyond_it_are_rejected(make_gateway, words):
+    """Guards against hundreds of unfinished long requests that together exceed the process's memory."""
+    gateway = make_gateway(sockets=256, memory_mb=32)
+    budget = gateway.service.effects.port.factory.budget
+    body = [60000 // words * b"b"] * words
+    clients = [gateway.client() for _ in range(gateway.limits.client_links - 1)]
+    commands = []
+    for client in clients:
+        command = encode_command(b"API.WRITE", *body) if words > 1 else gateway.request("once", body=body)
+        commands.append(command)
+        client.send(command[:-10])
+        while gateway.has_unread_input_of(client):
+            gateway.run_loop(1)
+    held_bytes = sum(gateway.partial_bytes(link) for link in gateway.client_links())
+    allowance = len(clients) * UNRESERVED_BYTES + gateway.limits.partial
+    assert held_bytes < allowance and budget.used_bytes <= gateway.limits.partial
+    shed = gateway.state_machine.context.counts["commands_shed"]
+    for client, command in zip(clients, commands):
+        client.send(command[-10:])
+        gateway.run_loop()
+    answers = [client.read() for client in clients]
+    assert not shed and answers.count(BUSY) >= len(clients) // 2
+    assert budget.used_bytes == 0
+
+
+def test_the_budget_of_commands_in_parts_is_freed_by_a_close_and_by_a_rejection(make_gateway):
+    gateway = make_gateway(sockets=256, memory_mb=32)
+    budget = gateway.service.effects.port.factory.budget
+    leaving, failing = gateway.client(), gateway.client()
+    for client in (leaving, failing):
+        client.send(gateway.request("once", body=(60000 * b"b",))[:-10])
+        gateway.run_loop(60)
+    assert budget.used_bytes > 120000
+    leaving.close()
+    failing.send(b"bbbbbbbbno line end")
+    gateway.run_loop()
+    assert budget.used_bytes == 0 and failing.read().startswith(b"-ERR")
+
+
+def test_a_request_with_thousands_of_short_fields_is_rejected_before_they_are_split(make_gateway):
+    """Guards against the memory and time of a table of 20,000 fields for one request."""
+    gateway = make_gateway()
+    client = gateway.client()
+    client.send(gateway.request(more=b"".join(b",x%d=1" % number for number in range(7000))))
+    gateway.run_loop(60)
+    assert client.read() == b"-ERR task not readable: too many fields\r\n"
