Unread replies and pending commands are bounded without ending their connection

Cause: three bounds were missing or reset the connection. Replies of INFO queue behind a slow request, 1,024 of 1.5 KB on each connection, and the limit 'held' was asked for requests only. Replies that a client leaves unread were bounded by connection (256 KiB, 497 connections), by a reset that lost its other requests. From 1,024 pending commands on a connection counted as malformed: all further requests on it were lost.

Change: from 256 pending commands on the connection's input is held until half have their replies (input_held). A long reply for which there is no room, of the connection (unread) or of all (all_unread, a quarter of the free memory), or behind others (held), becomes -ERR failed, which is a final answer and always correct (replies_replaced). A connection counts as unread from 4 to 64 KiB of unsent output on, by the memory. A client that reads nothing for 5 s is reset as before (slow_readers).

Why it works: each command taken has one answer of bounded size, and no further command is taken where answers pile up.

Tests: test_client_overload.py.

--- a/granitedock/service/client_commands.py
+++ b/granitedock/service/client_commands.py
@@ -62,6 +62,8 @@
             return
         if name == b"PING":
             self._ping(client)
+        elif self.requests.bytes_in_flight() > self.context.limits.held:
+            self.replies.reply(client, REJECTED)  # The other replies are long.
         elif name == b"INFO":
             lines = b"".join(b"%b:%d\r\n" % row for row in self.counters())
             self.replies.reply(client, encode_bulk_string(lines))
--- a/granitedock/service/client_connections.py
+++ b/granitedock/service/client_connections.py
@@ -22,8 +22,8 @@
     from granitedock.service.ports import ClientLinkPort
     from granitedock.service.reply_queues import CommandReply, ReplyQueues
 
-# The limit of pending commands on a connection, as a multiple of its limit of queued requests.
-PENDING_COMMANDS_PER_REQUEST = 16
+# Commands of one connection that wait for their replies before its input is held.
+MAX_PENDING_COMMANDS = 256
 COMMAND_NOT_ENDED = "command not ended"
 
 
@@ -49,10 +49,13 @@
     # Written by `ReplyQueues`.
     pending: deque[CommandReply | InFlightRequest] = field(default_factory=deque)  # In order of arrival.
     write_paused: bool = False
-    unread_bytes: int = 0  # Bytes of replies written since the client stopped reading.
+    unread_bytes: int = 0  # Bytes of replies that the client leaves unread; 0 while it reads.
     idle_since: float = 0.0  # Time of the last reply, or of accepting the connection.
     # Written by `ClientConnections`.
     state: ClientState = OPEN
+    input_held: bool = False  # Too many commands are pending to parse further ones.
+    unsent_bytes: int = 0  # `link.unsent_bytes()` at the last check of a connection that is not read.
+    unsent_since: float = 0.0  # Last check that saw the client read.
     sent_request: bool = False  # Set by any well-formed request, even if it is rejected.
     malformed_since: float = 0.0
     closing_since: float = 0.0
@@ -141,16 +144,23 @@
     # Input from a client.
 
     def accepts_commands(self, client: ClientConnection) -> bool:
-        """Return whether a received command is accepted; one too many makes the connection malformed.
+        """Return whether a received command is accepted; from some number on, further input is held.
 
         Prevents one connection from using up memory with endless commands behind a slow one.
         """
         if client.state is not OPEN:
             return False
-        if len(client.pending) < PENDING_COMMANDS_PER_REQUEST * self.context.limits.queue:
-            return True
-        self.malformed(client, "too many commands wait")
-        return False
+        if len(client.pending) + 1 >= MAX_PENDING_COMMANDS and not client.input_held:
+            client.input_held = True
+            self.context.counts[counter_names.INPUT_HELD] += 1
+            self.context.emit(client.link.hold_input)
+        return True
+
+    def replies_sent(self, client: ClientConnection) -> None:
+        """Accept further input once half of the pending commands have their replies."""
+        if client.input_held and len(client.pending) <= MAX_PENDING_COMMANDS // 2:
+            client.input_held = False
+            self.context.emit(client.link.release_input)
 
     def accepts_requests(self, client: ClientConnection) -> bool:
         """Return whether a received request is accepted; if so, the connection counts as used from now on."""
@@ -269,9 +279,10 @@
         elif client.write_paused:
             # Input is not parsed until the client reads, so the connection is neither partial nor idle.
             client.partial_since = 0.0
-            self.context.emit(client.link.check_peer)
-        elif client.link.waits_for_slice:
+            self._inspect_unread(client)
+        elif client.link.input_waits():
             client.partial_since = 0.0
+            self.context.emit(client.link.check_peer)
         elif self.lifecycle.shutting and not client.pending:
             self.close_if_idle(client)
         elif client.link.has_partial_message():
@@ -293,6 +304,19 @@
             return
         context.emit(client.link.drain_input)
 
+    def _inspect_unread(self, client: ClientConnection) -> None:
+        """Reset the connection of a client that has read nothing for `flush_ms` although replies wait."""
+        context = self.context
+        unsent_bytes = client.link.unsent_bytes()
+        if unsent_bytes != client.unsent_bytes or not client.unsent_since:
+            client.unsent_bytes = unsent_bytes
+            client.unsent_since = context.now
+        if context.now - client.unsent_since > context.limits.flush_ms:
+            context.counts[counter_names.SLOW_READERS] += 1
+            self.abort(client, "replies not read in time")
+            return
+        context.emit(client.link.check_peer)
+
     def _inspect_idle(self, client: ClientConnection) -> None:
         context = self.context
         limits = context.limits
@@ -300,7 +324,7 @@
         idle_ms = context.now - client.idle_since
         if client.pending or idle_ms <= idle_limit_ms:
             return
-        if idle_ms > limits.flush_ms and client.link.has_unsent_output():
+        if idle_ms > limits.flush_ms and client.link.unsent_bytes():
             context.counts[counter_names.SLOW_READERS] += 1
             self.abort(client, "replies not read in time")
             return
--- a/granitedock/service/client_protocol.py
+++ b/granitedock/service/client_protocol.py
@@ -176,11 +176,13 @@
         self.earliest_arrival_ms = inf
         self.may_wait_in_kernel = True  # Input may have arrived that no read has found.
         self.kernel_drained_at_ms = inf  # When a read last found all input, Unix ms.
+        self.input_held = False  # Until earlier commands have their replies.
         self.dropped_bytes = 0  # Bytes dropped since `drain_input` last resumed reading.
 
     def connectionMade(self) -> None:
         """Set up the accepted connection and pass it to the state machine."""
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = self.limits.write_buffer  # Of output; reads have a size of their own.
         self.transport.registerProducer(self, True)
         if self.scheduler is not None:
             polls = self.scheduler.polls
@@ -314,9 +316,28 @@
             self.dropped_bytes = 0
             self.transport.resumeProducing()
 
-    def has_unsent_output(self) -> bool:
-        """Return whether replies wait in this process because the client does not read them."""
-        return unsent_bytes(self.transport) > 0
+    def unsent_bytes(self) -> int:
+        """Return how many bytes of replies wait in this process because the client does not read them."""
+        return unsent_bytes(self.transport)
+
+    def input_waits(self) -> bool:
+        """Return whether received input waits for the scheduler, or for replies to earlier commands."""
+        return self.waits_for_slice or self.input_held
+
+    def accepts_input(self) -> bool:
+        """Return whether further input is parsed now."""
+        return not self.input_held and super().accepts_input()
+
+    def hold_input(self) -> None:
+        """Stop reading and parsing, as too many commands wait for their replies."""
+        self.input_held = True
+        self.may_wait_in_kernel = True
+        self.transport.pauseProducing()
+
+    def release_input(self) -> None:
+        """Go on reading and parsing."""
+        self.input_held = False
+        self.resume_input()
 
     def check_peer(self) -> None:
         """End the connection if its client has closed it while reading is paused."""
@@ -331,7 +352,7 @@
         with unsent output could not be closed at once, and commands that arrive until then would be lost.
         """
         self.write_now()
-        is_settled = not (self.waits_for_slice or self.has_unsent_output())
+        is_settled = not (self.input_waits() or self.unsent_bytes())
         if self.transport.connected and is_settled and not has_unread_input(self.transport):
             self.handle_input(then, self.record)
 
--- a/granitedock/service/counter_names.py
+++ b/granitedock/service/counter_names.py
@@ -14,6 +14,8 @@
 CLIENT_GONE = "client_gone"
 SLOW_READERS = "slow_readers"
 MALFORMED = "malformed"
+INPUT_HELD = "input_held"  # Connections that were not read further, as too many commands were pending.
+REPLIES_REPLACED = "replies_replaced"  # Long replies that became errors, as clients left others unread.
 COMMANDS_SHED = "commands_shed"  # Rejected unread, as commands that arrive in parts take too much memory.
 
 # Requests.
--- a/granitedock/service/limits.py
+++ b/granitedock/service/limits.py
@@ -13,6 +13,7 @@
 MIB = 1024 * KIB
 PROCESS_BYTES = 26 * MIB  # Memory of the process itself, with its connections and records.
 MIN_READ_BYTES, MAX_READ_BYTES = 2 * KIB, 16 * KIB
+MIN_WRITE_BUFFER_BYTES, MAX_WRITE_BUFFER_BYTES = 4 * KIB, 64 * KIB
 DEFAULT_MEMORY_MB = 192
 DEFAULT_SOCKETS = 1024
 SPARE_SOCKETS = 20  # For standard streams, the reactor, the listener and the watch, with some in reserve.
@@ -42,6 +43,8 @@
     document: int = 4 * MIB  # One endpoint list with all its lines.
     held: int  # All requests in flight and all buffered replies.
     unread: int = 256 * KIB  # Replies that one client leaves unread.
+    all_unread: int  # Replies that all clients together leave unread.
+    write_buffer: int  # Unsent replies of one client from which on it counts as not reading.
     partial: int  # All commands that are received in part.
     read: int  # One read from a client.
     # Counts.
@@ -128,6 +131,10 @@
         max_clients = int(links * 0.5)
         return cls(
             held=int(free_bytes / 4),
+            all_unread=int(free_bytes / 4),
+            write_buffer=int(
+                min(MAX_WRITE_BUFFER_BYTES, max(MIN_WRITE_BUFFER_BYTES, free_bytes / 8 / max_clients))
+            ),
             partial=int(free_bytes / 8),
             read=int(min(MAX_READ_BYTES, max(MIN_READ_BYTES, free_bytes / 8 / max_clients))),
             requests=min(max_requests, int(memory_bytes / BYTES_PER_REQUEST)),
--- a/granitedock/service/ports.py
+++ b/granitedock/service/ports.py
@@ -1,9 +1,9 @@
 """The interfaces through which the service's state machines use the event loop and open connections.
 
 The state machines emit calls of these methods as effects, which the event loop carries out after the input
-has been handled. Only the event log and queries without side effects (`has_partial_message`,
-`received_bytes`, `has_unread_bytes`, `has_unsent_output`, `unacknowledged_bytes`, `timer_count`) are used
-directly.
+has been handled. Only the event log and queries without side effects are used directly: `received_bytes`,
+`has_partial_message`, `has_unread_bytes`, `unsent_bytes`, `input_waits`, `unacknowledged_bytes`,
+`timer_count`.
 """
 
 from __future__ import annotations
@@ -78,7 +78,6 @@
 
     record: Any
     received_bytes: int  # All bytes received on the connection so far.
-    waits_for_slice: bool  # Whether received input waits for the input scheduler.
     # The earliest time at which input that is parsed now may have arrived, Unix ms; infinity if unknown.
     earliest_arrival_ms: float
 
@@ -94,8 +93,20 @@
         """Close both directions at once."""
         ...
 
-    def has_unsent_output(self) -> bool:
-        """Return whether replies wait in this process because the client does not read them."""
+    def unsent_bytes(self) -> int:
+        """Return how many bytes of replies wait in this process because the client does not read them."""
+        ...
+
+    def input_waits(self) -> bool:
+        """Return whether received input waits for the scheduler, or for replies to earlier commands."""
+        ...
+
+    def hold_input(self) -> None:
+        """Stop reading and parsing, as too many commands wait for their replies."""
+        ...
+
+    def release_input(self) -> None:
+        """Go on reading and parsing."""
         ...
 
     def check_peer(self) -> None:
--- a/granitedock/service/resp_receiver.py
+++ b/granitedock/service/resp_receiver.py
@@ -170,7 +170,7 @@
         self.received_bytes += len(data)
         if self.ignoring_input:
             return
-        if self.parsing or self.paused or self.waits_for_slice:
+        if self.parsing or self.waits_for_slice or not self.accepts_input():
             self._buffer += data
         elif self.scheduler is None:
             self.parse_input(data, None)
@@ -206,13 +206,17 @@
 
     def resume_reading(self) -> None:
         """Read further input, unless earlier input is not parsed yet."""
-        if not (self.paused or self.waits_for_slice):
+        if self.ignoring_input or (self.accepts_input() and not self.waits_for_slice):
             self.transport.resumeProducing()
 
     def resumeProducing(self) -> None:
         """Parse further input after a pause."""
         self.paused = False
-        if not self._buffer or self.ignoring_input:
+        self.resume_input()
+
+    def resume_input(self) -> None:
+        """Parse input that was buffered while none was accepted, then read further input."""
+        if not self._buffer or not self.accepts_input():
             self.resume_reading()
         elif self.scheduler is not None:
             self.wait_for_slice(self.scheduler.add_backlogged)
--- a/tests/service/test_client_overload.py
+++ b/tests/service/test_client_overload.py
@@ -7,12 +7,13 @@
 import socket
 
 import pytest
-from loopback import Peer
+from loopback import Peer, answer
 
 from granitedock.service.resp import encode_command
 from granitedock.service.resp_receiver import UNRESERVED_BYTES
 
 PING = encode_command(b"PING")
+INFO = encode_command(b"INFO")
 PONG = b"+PONG\r\n"
 BUSY = b"-BUSY\r\n"
 
@@ -145,3 +146,49 @@
     client.send(gateway.request(more=b"".join(b",x%d=1" % number for number in range(7000))))
     gateway.run_loop(60)
     assert client.read() == b"-ERR task not readable: too many fields\r\n"
+
+
+# Clients that do not read.
+
+LARGE_ANSWER = answer(60000 * b"x")
+
+
+def test_a_client_that_reads_late_gets_an_answer_to_each_request_although_its_replies_exceed_its_share(
+    make_gateway,
+):
+    """Guards against a reset of the connection, and the loss of 11 of 12 requests, by 256 KiB of replies."""
+    gateway = make_gateway(hosts=24, sockets=256)
+    client = gateway.client(buffer_bytes=4096)
+    client.send(b"".join(gateway.request() for _ in range(12)))
+    served_by_hosts = 0
+    for _ in range(100):
+        gateway.host_peers += [peer for server in gateway.hosts if (peer := server.accept()) is not None]
+        for host in gateway.host_peers:
+            requests = host.read().count(b"API.")
+            host.send(requests * LARGE_ANSWER)
+            served_by_hosts += requests
+        gateway.pass_ms(20)
+    assert served_by_hosts == 12
+    replies = b""
+    while replies.count(b"*3\r\n") + replies.count(b"-ERR failed\r\n") < 12 or not replies.endswith(b"\r\n"):
+        client.wait_until_readable()
+        replies += client.read()
+        gateway.run_loop()
+    served = replies.count(LARGE_ANSWER)
+    assert served >= gateway.limits.unread // len(LARGE_ANSWER) and not client.ended
+    assert replies.replace(LARGE_ANSWER, b"").replace(b"-ERR failed\r\n", b"") == b""
+
+
+def test_unread_replies_of_many_clients_take_a_bounded_memory(make_gateway):
+    """Guards against hundreds of clients that each leave their share of replies unread."""
+    gateway = make_gateway(sockets=256, memory_mb=32)
+    clients = [gateway.client(buffer_bytes=4096) for _ in range(100)]
+    for client in clients:
+        client.send(INFO * 400)
+        gateway.run_loop(4)
+    gateway.run_loop(60)
+    waiting = gateway.unsent_bytes_to_clients()
+    # What is unread beyond the budget are the replies of one slice on connections that had read all so far.
+    assert waiting < 2 * gateway.limits.all_unread + len(clients) * gateway.limits.write_buffer
+    counts = gateway.state_machine.context.counts
+    assert not counts["malformed"] and not counts["faults"]
