No attempt begins for a client that has closed unread; an id that may have run runs no more

Cause: a close was noticed by reading up to it. Behind 16 or 64 KiB of commands, a held connection or a slow turn it is found long after it arrived, and each request before it was counted and sent. And an id was known only while its request was in flight: released with its client, it ran again.

Idempotent ones, and those that provably never ran, may come again. New: counter and event repeated_ids, 'repeated id'. It costs one getsockopt an attempt.

Why it works: the check and the write are one step, so that no close that has reached this machine precedes an attempt.

--- a/granitedock/service/client_protocol.py
+++ b/granitedock/service/client_protocol.py
@@ -212,6 +212,8 @@
             return
         if self.scheduler is not None and data:
             self.record_arrival(len(data), self.scheduler.polls)
+        if len(data) >= self.limits.read and self.check_peer():
+            return
         super().dataReceived(data)
         if self.paused and len(self._buffer) > MAX_PAUSED_INPUT_BYTES:
             self.may_wait_in_kernel = True
@@ -237,8 +239,8 @@
 
     def continue_parsing(self, deadline: float) -> None:
         """Parse buffered input, unless the client has closed the connection since it was read."""
-        self.check_peer()
-        super().continue_parsing(deadline)
+        if not self.check_peer():
+            super().continue_parsing(deadline)
 
     def value_received(self, value: Any, parts: list[bytes]) -> None:
         """Pass a request or another command to the state machine, or reject the input."""
@@ -339,9 +341,24 @@
         self.input_held = False
         self.resume_input()
 
-    def check_peer(self) -> None:
-        """End the connection if its client has closed it while reading is paused."""
-        if self.transport.connected and peer_has_closed(self.transport):
+    def check_peer(self) -> bool:
+        """Return whether the client has closed the connection; if so, end it.
+
+        Needed where the close may be unread behind other input.
+        """
+        if not self.transport.connected:
+            return True
+        if not peer_has_closed(self.transport):
+            return False
+        self.ignoring_input = True
+        self.transport.stopReading()
+        self.transport.stopWriting()
+        self.transport.reactor.callLater(0, self.end_connection)
+        return True
+
+    def end_connection(self) -> None:
+        """End a connection that the client has closed."""
+        if self.transport.connected:
             self.transport.connectionLost(Failure(ConnectionDone()))
 
     def check_unread(self, then: str) -> None:
--- a/granitedock/service/counter_names.py
+++ b/granitedock/service/counter_names.py
@@ -23,6 +23,7 @@
 DONE = "done"
 DEFERRED = "deferred"
 ERRORED = "errored"
+REPEATED_IDS = "repeated_ids"  # Requests that failed because one of their id may have run.
 FORGOTTEN = "forgotten"
 
 # Attempts and connections to hosts.
--- a/granitedock/service/host_connections.py
+++ b/granitedock/service/host_connections.py
@@ -230,13 +230,14 @@
 
         Prevents sending a request that became obsolete during the connect: the client has disconnected or has
         its reply, the host has started to drain, or the period in which a keyed request may be repeated is
-        over.
+        over. A client may have disconnected although the close is unread behind other input.
         """
         context = self.context
         attempt: Attempt = connection.attempt  # type: ignore[assignment]  # Set before the connection is assigned.
         request: InFlightRequest = attempt.request  # type: ignore[assignment]  # The service creates all requests.
         if (
             request.answer is not None
+            or request.client.link.check_peer()
             or connection.endpoint.status is not EndpointStatus.READY
             or context.now >= attempt.deliver_before
         ):
--- a/granitedock/service/in_flight_requests.py
+++ b/granitedock/service/in_flight_requests.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 from weakref import WeakValueDictionary
 
+from granitedock.policy.executed_requests import ExecutedRequests
 from granitedock.policy.states import RequestState
 from granitedock.policy.types import Customer, Idempotency, Plan, Request, RequestClass
 from granitedock.service import counter_names
@@ -69,6 +70,7 @@
         self.by_id: dict[bytes, InFlightRequest] = {}
         self.queued_at_start: list[InFlightRequest] = []  # Wait for the first endpoint list.
         self.reserved_bytes = 0
+        self.executed_requests = ExecutedRequests()
 
     def attach(
         self,
@@ -112,6 +114,13 @@
             return
         context = self.context
         context.counts[counter_names.TAKEN] += 1
+        if self.executed_requests.may_have_run(parsed.id, context.now):
+            # An error is always correct, since it does not state whether the request ran.
+            context.counts[counter_names.REPEATED_IDS] += 1
+            context.counts[counter_names.ERRORED] += 1
+            context.event_log.event("repeated id", id=parsed.id.decode(), client=client.number)
+            self.replies.reply(client, FAILED)
+            return
         customer = self.customers.get(parsed.customer)
         if customer is None:
             customer = self.customers[parsed.customer] = Customer(parsed.customer)
@@ -274,6 +283,7 @@
         if request in self.in_flight:
             del self.in_flight[request]
             del self.by_id[request.parsed.id]
+            self.executed_requests.record(request.parsed.id, request, self.context.now)
         self.reserved_bytes -= request.reserved_bytes
         request.reserved_bytes = 0
         if request.watchdog is not None:
--- a/granitedock/service/ports.py
+++ b/granitedock/service/ports.py
@@ -1,8 +1,8 @@
 """The interfaces through which the service's state machines use the event loop and open connections.
 
 The state machines emit calls of these methods as effects, which the event loop carries out after the input
-has been handled. Only the event log and queries without side effects are used directly: `received_bytes`,
-`has_partial_message`, `has_unread_bytes`, `unsent_bytes`, `input_waits`, `unacknowledged_bytes`,
+has been handled. Only the event log and queries are used directly: `received_bytes`, `check_peer`,
+`has_partial_message`, `has_unread_bytes`, `unsent_bytes`, `input_waits`, `unacknowledged_bytes` and
 `timer_count`.
 """
 
@@ -109,8 +109,8 @@
         """Go on reading and parsing."""
         ...
 
-    def check_peer(self) -> None:
-        """End the connection if its client has closed it while reading is paused."""
+    def check_peer(self) -> bool:
+        """Return whether the client has closed the connection, read or not; if so, end it."""
         ...
 
     def check_unread(self, then: Input) -> None:
--- a/tests/service/test_client_overload.py
+++ b/tests/service/test_client_overload.py
@@ -192,3 +192,82 @@
     assert waiting < 2 * gateway.limits.all_unread + len(clients) * gateway.limits.write_buffer
     counts = gateway.state_machine.context.counts
     assert not counts["malformed"] and not counts["faults"]
+
+
+# Clients that leave, and ids that come again.
+
+
+def requests_at_hosts(gateway):
+    """Accept connections at all hosts; return how many requests have come."""
+    gateway.host_peers += [peer for server in gateway.hosts if (peer := server.accept()) is not None]
+    return sum(host.read().count(b"API.") for host in gateway.host_peers)
+
+
+def test_requests_that_are_unread_when_their_client_closes_are_not_forwarded(make_gateway):
+    """Guards against attempts that begin long after the close because it is unread behind the requests."""
+    gateway = make_gateway(hosts=8, sockets=256)
+    client = gateway.client()
+    client.send(b"".join(gateway.request() for _ in range(400)))
+    client.close()
+    for _ in range(20):
+        gateway.pass_ms(50)
+    assert requests_at_hosts(gateway) == 0 and not gateway.state_machine.clients.connections
+
+
+def test_no_attempt_begins_for_a_client_whose_close_waits_behind_input_that_is_not_read(make_gateway):
+    """Guards against attempts for a client that left while its connection was not read."""
+    gateway = make_gateway(sockets=256)
+    gateway.delay_connects()
+    client = gateway.client()
+    client.send(gateway.request())
+    gateway.run_loop()
+    [link] = gateway.client_links()
+    link.hold_input()  # As behind many pending commands.
+    client.send(PING * 1000)
+    client.close()
+    gateway.release_connects()
+    gateway.run_loop()
+    assert requests_at_hosts(gateway) == 0
+    assert not gateway.state_machine.clients.connections and not gateway.state_machine.requests.in_flight
+
+
+@pytest.mark.parametrize("name", ["once", "mark", "read"])
+@pytest.mark.parametrize("ending", ["client leaves", "answered"])
+def test_an_id_that_may_have_run_runs_again_only_if_that_does_no_harm(make_gateway, name, ending):
+    """Guards against an effect that happens twice when a request comes again after its client has left."""
+    gateway = make_gateway()
+    client, again = gateway.client(), gateway.client()
+    command = gateway.request(name, more=b",k=00000000000000ab" if name == "mark" else b"")
+    client.send(command)
+    host = gateway.accept_at_host()
+    assert host.read().count(b"API.") == 1
+    if ending == "answered":
+        gateway.answer_from_host(host, client)
+    else:
+        client.close()
+        gateway.run_loop()
+        gateway.host_peers.remove(host)
+        host.close()
+    gateway.pass_ms(100)
+    again.send(command)
+    gateway.run_loop()
+    if name == "read":
+        assert requests_at_hosts(gateway) == 1
+    else:
+        assert again.read() == b"-ERR failed\r\n" and requests_at_hosts(gateway) == 0 and not again.ended
+
+
+def test_an_id_whose_request_never_ran_may_come_again(make_gateway):
+    gateway = make_gateway()
+    client, again = gateway.client(), gateway.client()
+    command = gateway.request("once")
+    gateway.counter_answers = False
+    client.send(command)
+    gateway.run_loop()
+    client.close()
+    gateway.run_loop()
+    gateway.counter_answers = True
+    gateway.pass_ms(100)
+    again.send(command)
+    gateway.run_loop()
+    assert requests_at_hosts(gateway) == 1 and again.read() == b""
