Accounts of ever new customers and cancelled timers are bounded

Cause: an account lives for two windows (one minute under a ceiling) after its only request, whatever their number, and a cancelled timer stays in the heap until it is due, up to the deadline of its request.

Accounts have slots. The timer heap drops cancelled timers each time it has doubled.

Tests: test_client_overload.py, test_token_bucket.py; there is no bound in the code before.

--- a/granitedock/policy/quota_account.py
+++ b/granitedock/policy/quota_account.py
@@ -28,6 +28,32 @@
     this process started; a ceiling fills from then, or from `now` if the start is later, as it is by default.
     """
 
+    __slots__ = (
+        "active_members",
+        "added_by_this_gateway",
+        "allowance",
+        "burst_usage",
+        "burst_usage_at",
+        "ceiling",
+        "current",
+        "in_flight",
+        "last_total",
+        "last_used_at",
+        "local_bucket",
+        "lost",
+        "plan",
+        "previous",
+        "quota",
+        "refund_due",
+        "subset_size",
+        "unchanged_totals",
+        "uncounted",
+        "uncounted_before",
+        "unreported",
+        "window",
+        "window_ms",
+    )
+
     def __init__(
         self,
         plan: Plan,
@@ -79,6 +105,13 @@
         fills_from = min(now, max(process_started_at, now - MAX_NAME_TTL_MS / 2))
         return TokenBucket(plan.ceiling_rate / size, plan.ceiling_burst / size, level, fills_from)
 
+    def is_like_new(self, now: float, process_started_at: float) -> bool:
+        """Return whether a new account would admit no more under the ceiling than this one."""
+        new_ceiling = self.new_ceiling(now, process_started_at)
+        if self.ceiling is None or new_ceiling is None:
+            return True
+        return self.ceiling.available(now) >= new_ceiling.available(now)
+
     def advance_window(self, now: float) -> None:
         """Start the window of `now` if it is not the current one.
 
--- a/granitedock/policy/rate_limiter.py
+++ b/granitedock/policy/rate_limiter.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from itertools import islice
+
 from granitedock.policy.circuit_breaker import CircuitBreaker
 from granitedock.policy.late_retries import LateRetryDetector
 from granitedock.policy.ports import EffectHandler, MembershipPort, QuotaSharingPort
@@ -24,6 +26,10 @@
 # Longest wait for a call, as a share of the latency objective, unless `CALL_BUDGET_MS` is longer.
 CALL_BUDGET_SHARE = 0.25
 IDLE_TTL_WINDOWS = 2.0  # Windows without a request after which an account without a ceiling is evicted.
+DEFAULT_MAX_ACCOUNTS = 20000
+# Idle time after which an account may be evicted for another customer: longer than any call to the counter.
+MIN_EVICTION_IDLE_MS = 3000.0
+MAX_EVICTION_CANDIDATES = 8  # Accounts that are inspected for one new customer.
 # Marks in `CounterCall.recorded_uncounted` a call whose units were proved not to be added.
 PROVED_NOT_ADDED = -1.0
 
@@ -47,6 +53,7 @@
         self.quota_sharing: QuotaSharingPort | None = None  # Exchanges uncounted units between gateways.
         self.open_account = QuotaAccount  # Replaced by another function if plans can change at run time.
         self.accounts: dict[Customer, None] = {}  # Ordered by last use or inspection, the oldest first.
+        self.max_accounts = DEFAULT_MAX_ACCOUNTS  # The service sets it by the memory.
 
     # Accounts.
 
@@ -75,6 +82,24 @@
             self.accounts[oldest] = None
         return customer.account
 
+    def has_room_for(self, customer: Customer) -> bool:
+        """Return whether the customer has an account or may get one, and make room for it.
+
+        Prevents a flood under ever new names from taking memory without end. An account that has not been
+        used for a moment is replaced, unless a new one would admit more under its ceiling; the counter still
+        has its count.
+        """
+        if customer.account is not None or len(self.accounts) < self.max_accounts:
+            return True
+        for candidate in list(islice(self.accounts, MAX_EVICTION_CANDIDATES)):
+            account: QuotaAccount = candidate.account
+            is_idle = not account.in_flight and self.now - account.last_used_at > MIN_EVICTION_IDLE_MS
+            if is_idle and account.is_like_new(self.now, self.started_at):
+                del self.accounts[candidate]
+                candidate.account = None
+                return True
+        return False
+
     # The decision on a request.
 
     def check_quota(self, request: Request) -> RequestEvent | None:
--- a/granitedock/service/client_commands.py
+++ b/granitedock/service/client_commands.py
@@ -10,6 +10,7 @@
 
 from granitedock.service import counter_names
 from granitedock.service.client_connections import ClientState
+from granitedock.service.in_flight_requests import REJECTED
 from granitedock.service.lifecycle import LifecycleState
 from granitedock.service.reply_queues import CommandReply
 from granitedock.service.resp import encode_bulk_string
@@ -24,7 +25,6 @@
 
 PONG = b"+PONG\r\n"
 CLOSING = b"-ERR closing\r\n"
-REJECTED = b"-BUSY\r\n"
 
 
 class ClientCommands:
--- a/granitedock/service/counter_names.py
+++ b/granitedock/service/counter_names.py
@@ -23,6 +23,7 @@
 DONE = "done"
 DEFERRED = "deferred"
 ERRORED = "errored"
+CUSTOMERS_OVER = "customers_over"  # Requests rejected because too many customers have an account.
 REPEATED_IDS = "repeated_ids"  # Requests that failed because one of their id may have run.
 FORGOTTEN = "forgotten"
 
--- a/granitedock/service/dispatcher.py
+++ b/granitedock/service/dispatcher.py
@@ -129,6 +129,7 @@
         self.policy_timers = PolicyTimers(context)
         effects = PolicyEffects(context, self.requests, self.hosts, self.counter, self.policy_timers)
         self.policy = platform_settings.gateway(effects, now, parameters.seed, settings, classes)
+        self.policy.rate_limiter.max_accounts = parameters.limits.accounts
         self._attach()
 
     def _attach(self) -> None:
--- a/granitedock/service/in_flight_requests.py
+++ b/granitedock/service/in_flight_requests.py
@@ -31,6 +31,7 @@
     from granitedock.service.timers import Timer
 
 FAILED = b"-ERR failed\r\n"
+REJECTED = b"-BUSY\r\n"
 
 
 # Bound once for the request path: Python 3.11 takes 0.2 us to look up a member of an enum.
@@ -124,6 +125,11 @@
         customer = self.customers.get(parsed.customer)
         if customer is None:
             customer = self.customers[parsed.customer] = Customer(parsed.customer)
+        if not self.policy.rate_limiter.has_room_for(customer):
+            context.counts[counter_names.CUSTOMERS_OVER] += 1
+            context.counts[counter_names.DEFERRED] += 1
+            self.replies.reply(client, REJECTED)
+            return
         request = InFlightRequest(
             request_class,
             plan,
--- a/granitedock/service/limits.py
+++ b/granitedock/service/limits.py
@@ -20,6 +20,7 @@
 MAX_COUNTER_LINKS = 4
 DEFAULT_MAX_REQUESTS_IN_FLIGHT = 20000
 BYTES_PER_REQUEST = 32 * KIB  # The memory divided by this bounds the requests in flight.
+BYTES_PER_ACCOUNT = KIB  # With its customer and its place in the tables.
 DEFAULT_MAX_UNITS = 1e9
 DEFAULT_CONNECT_MS = 250.0
 DEFAULT_HOST_IDLE_MS = 15000.0
@@ -51,6 +52,7 @@
     items: int = 64  # Elements of one array.
     depth: int = 4  # Levels of nested arrays.
     requests: int  # Requests in flight.
+    accounts: int  # Quota accounts of customers.
     queue: int = 64  # Commands of one client connection that wait for replies.
     client_links: int  # From this many client connections on, idle ones are evicted.
     client_most: int  # From this many client connections on, no more are accepted.
@@ -131,6 +133,7 @@
         max_clients = int(links * 0.5)
         return cls(
             held=int(free_bytes / 4),
+            accounts=int(free_bytes / 8 / BYTES_PER_ACCOUNT),
             all_unread=int(free_bytes / 4),
             write_buffer=int(
                 min(MAX_WRITE_BUFFER_BYTES, max(MIN_WRITE_BUFFER_BYTES, free_bytes / 8 / max_clients))
--- a/granitedock/service/timer_queue.py
+++ b/granitedock/service/timer_queue.py
@@ -13,6 +13,8 @@
 from granitedock.service.clock import MS_PER_S, Clock
 from granitedock.service.inputs import Input
 
+MIN_COMPACTED_TIMERS = 1024
+
 
 class QueuedTimer(Protocol):
     """The fields of a timer that the queue uses."""
@@ -23,7 +25,7 @@
 
 
 class TimerQueue:
-    """A heap of timers. A cancelled timer has no input and stays in the heap until it reaches the top."""
+    """A heap of timers. A cancelled timer has no input and stays in the heap for a while."""
 
     handle_input: InputHandler  # The service sets it before the first timer expires.
 
@@ -31,12 +33,24 @@
         self.clock = clock
         self.added = 0  # Orders timers that expire at the same time.
         self.heap: list[tuple[float, int, QueuedTimer]] = []
+        self.compact_at = MIN_COMPACTED_TIMERS  # The length of the heap at which cancelled timers go.
 
     def add(self, timer: QueuedTimer) -> None:
         """Add a timer."""
         self.added += 1
+        if len(self.heap) >= self.compact_at:
+            self.remove_cancelled()
         heapq.heappush(self.heap, (timer.due, self.added, timer))
 
+    def remove_cancelled(self) -> None:
+        """Remove the cancelled timers; done when the heap has doubled, so that a timer costs little.
+
+        Prevents a flood of requests that end at once from keeping a timer of each until their deadlines.
+        """
+        self.heap[:] = [entry for entry in self.heap if entry[2].input is not None]
+        heapq.heapify(self.heap)
+        self.compact_at = max(MIN_COMPACTED_TIMERS, 2 * len(self.heap))
+
     def seconds_until_next(self) -> float | None:
         """Return the time until the next timer expires, in seconds, or None without a timer."""
         heap = self.heap
--- a/tests/policy/test_token_bucket.py
+++ b/tests/policy/test_token_bucket.py
@@ -2,6 +2,9 @@
 
 from random import Random
 
+from fake_gateway import CAPPED, PLAN
+
+from granitedock.policy.quota_account import QuotaAccount
 from granitedock.policy.token_bucket import TokenBucket
 
 RATE = 0.01  # Units per ms.
@@ -43,3 +46,12 @@
     """Guards against room that is kept for units that have arrived."""
     for seed in range(10):
         assert len(arrivals_of(seed, longest_delivery_ms=400.0)) >= 0.95 * RATE * RUN_MS
+
+
+def test_an_account_under_a_ceiling_is_replaced_only_if_a_new_one_would_admit_no_more():
+    """Guards against a ceiling that is passed because a flood of names evicts the account that used it up."""
+    started, now = 0.0, 100000.0
+    account = QuotaAccount(CAPPED, 1, now, 0, started)
+    assert account.is_like_new(now, started)
+    assert account.ceiling.take(10.0, now) and not account.is_like_new(now, started)
+    assert QuotaAccount(PLAN, 1, now, 0, started).is_like_new(now, started)
--- a/tests/service/test_client_overload.py
+++ b/tests/service/test_client_overload.py
@@ -7,10 +7,12 @@
 import socket
 
 import pytest
-from loopback import Peer, answer
+from loopback import VALUE, Peer, answer
 
+from granitedock.policy.rate_limiter import MIN_EVICTION_IDLE_MS
 from granitedock.service.resp import encode_command
 from granitedock.service.resp_receiver import UNRESERVED_BYTES
+from granitedock.service.timer_queue import MIN_COMPACTED_TIMERS
 
 PING = encode_command(b"PING")
 INFO = encode_command(b"INFO")
@@ -271,3 +273,40 @@
     again.send(command)
     gateway.run_loop()
     assert requests_at_hosts(gateway) == 1 and again.read() == b""
+
+
+# Ever new names.
+
+
+def send_as_new_customers(gateway, client, count):
+    """Send requests of customers that were never seen; the host answers each at once."""
+    for _ in range(count):
+        gateway.next_id += 1
+        text = b"c=read,t=p,d=3000,units=1,spread=1,first=0"
+        client.send(encode_command(b"API.READ", b"%016x" % gateway.next_id, b"%016x" % gateway.next_id, text))
+        gateway.pass_ms(10)
+        if (peer := gateway.hosts[0].accept()) is not None:
+            gateway.host_peers.append(peer)
+        for host in gateway.host_peers:
+            host.send(host.read().count(b"API.") * VALUE)
+        gateway.run_loop(2)
+        client.read()
+
+
+def test_requests_under_ever_new_names_take_a_bounded_number_of_accounts_and_timers(make_gateway):
+    """Guards against an account and some timers for each name until their time is over, 7 MB a second."""
+    gateway = make_gateway(sockets=256, memory_mb=27)  # Room for 432 accounts.
+    usual, client = gateway.client(), gateway.client()
+    rest(gateway, usual, 20)
+    limiter = gateway.state_machine.policy.rate_limiter
+    send_as_new_customers(gateway, client, gateway.limits.accounts // 2)
+    for customer in limiter.accounts:  # As though all had sent their requests in the same moment.
+        customer.account.last_used_at = gateway.now_ms
+    send_as_new_customers(gateway, client, gateway.limits.accounts // 2 + 100)
+    assert len(limiter.accounts) == gateway.limits.accounts
+    assert len(gateway.reactor.timer_queue.heap) < 2 * MIN_COMPACTED_TIMERS
+    rejected = gateway.state_machine.context.counts["customers_over"]
+    rest(gateway, gateway.client(), MIN_EVICTION_IDLE_MS)  # A customer with an account is served as before.
+    send_as_new_customers(gateway, gateway.client(), 50)
+    assert len(limiter.accounts) == gateway.limits.accounts
+    assert rejected and gateway.state_machine.context.counts["customers_over"] == rejected
