A host whose address belongs to a later process gets no more work; connections know theirs

Cause: hosts are known by name and connections by address, and nothing tied the two to a process. While the list names the old host too (the new one is told first, or the old one's end is late), attempts at the old, warm host reach the new, cold process, which is not counted for it. An attempt whose connection comes up after a restart or a replacement was told is written to the new process, and a connection to the process before goes back to the pool with its answer.

What discovery has not told cannot be told apart: the wire carries no mark of a process.

--- a/granitedock/service/endpoints.py
+++ b/granitedock/service/endpoints.py
@@ -73,6 +73,7 @@
         """Apply an endpoint update, either a complete list or a change of some endpoints."""
         self.context.counts[counter_names.LISTS] += 1
         updates = []
+        claimed: dict[str, Endpoint] = {}  # By address, the endpoints of new processes.
         for entry in listing.entries:
             endpoint = self.by_name.get(entry.name)
             if endpoint is None:
@@ -80,8 +81,11 @@
                     continue
                 endpoint = self.by_name[entry.name] = Endpoint(address=entry.address, name=entry.name)
             moved = entry.address and entry.address != endpoint.address
-            if entry.started_at > endpoint.started_at or moved:
+            is_new = endpoint.health is None
+            if is_new or entry.started_at > endpoint.started_at or moved:
                 endpoint.address = entry.address or endpoint.address
+                endpoint.incarnation += 1
+                claimed[endpoint.address] = endpoint
                 self.hosts.close_idle(endpoint)  # Idle connections lead to a process that has ended.
             updates.append(
                 EndpointUpdate(
@@ -94,6 +98,7 @@
                     entry.status,
                 )
             )
+        updates += self._superseded(claimed, {update.host: update.started_at for update in updates})
         self.policy.update_endpoints(updates, listing.complete)
         for name, endpoint in list(self.by_name.items()):
             if endpoint.status is not EndpointStatus.READY:
@@ -104,3 +109,30 @@
                 del self.by_name[name]  # Bounds the memory, since new hosts have new names.
         if self.outlier_detector is not None:
             self.outlier_detector.update_hosts(self.by_name, self.context.now)
+
+    def _superseded(
+        self, claimed: dict[str, Endpoint], started_at: dict[Endpoint, float]
+    ) -> list[EndpointUpdate]:
+        """Return updates that remove the endpoints whose address belongs to a process started later.
+
+        Prevents attempts at a host that is gone from reaching the new process at its address, which is
+        another host, cold and not counted. `started_at` has the starts that the current list states.
+        """
+        superseded = []
+        for endpoint in self.by_name.values():
+            owner = claimed.get(endpoint.address, endpoint)
+            start = started_at.get(endpoint, endpoint.started_at)
+            if owner is not endpoint and started_at[owner] > start:
+                self.context.event_log.event("host superseded", host=endpoint.name, by=owner.name)
+                superseded.append(
+                    EndpointUpdate(
+                        endpoint,
+                        endpoint.size,
+                        endpoint.machine_type,
+                        endpoint.zone,
+                        endpoint.cell,
+                        start,
+                        EndpointStatus.GONE,
+                    )
+                )
+        return superseded
--- a/granitedock/service/host_connection.py
+++ b/granitedock/service/host_connection.py
@@ -123,6 +123,7 @@
     """A host with its address and its idle connections, longest idle first."""
 
     address: str = ""  # Written by the endpoint list.
+    incarnation: int = 0  # Counts the processes that the host has been; written by the endpoint list.
     idle: list[HostConnection] = field(default_factory=list)  # Written by the pool.
 
 
@@ -138,3 +139,8 @@
     idle_since: float = 0.0  # Written by the pool.
     deadline_timer: Timer | None = None
     reused: bool = False  # The connection has carried an earlier attempt.
+    incarnation: int = 0  # The endpoint's when the connection was opened.
+
+    def leads_elsewhere(self) -> bool:
+        """Return whether the host is another process now than when the connection was opened."""
+        return self.incarnation != self.endpoint.incarnation
