--- a/granitedock/lab/cluster/gateway_process.py
+++ b/granitedock/lab/cluster/gateway_process.py
@@ -16,6 +16,9 @@
 from granitedock.lab.load.generator import Interval
 
 STOP_TIMEOUT_S = 10.0
+# Starts a gateway without `rich`, which only packages for development install, and which structlog imports if
+# it is there: 3.5 MiB of memory.
+AS_DEPLOYED = "import sys; sys.modules['rich'] = None; from granitedock.__main__ import main; main()"
 
 
 def gateway_name(number: int) -> str:
@@ -61,7 +64,7 @@
         assert not self.is_running()
         self.starts += 1
         self.write_platform_file()
-        command = [sys.executable, "-m", "granitedock", "serve", "--told", str(self.platform_path())]
+        command = [sys.executable, "-c", AS_DEPLOYED, "serve", "--told", str(self.platform_path())]
         with open(self.log(), "wb") as log:
             self.process = subprocess.Popen(
                 [*command, *self.options], stdin=subprocess.DEVNULL, stdout=log, stderr=log
--- a/granitedock/service/endpoints.py
+++ b/granitedock/service/endpoints.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING, Any, Protocol
 
-from granitedock.policy.types import EndpointStatus, EndpointUpdate
+from granitedock.policy.types import EndpointStatus, EndpointUpdate, Host
 from granitedock.service import counter_names
 from granitedock.service.host_connection import Endpoint
 from granitedock.service.lifecycle import LifecycleEvent
@@ -111,7 +111,7 @@
             self.outlier_detector.update_hosts(self.by_name, self.context.now)
 
     def _superseded(
-        self, claimed: dict[str, Endpoint], started_at: dict[Endpoint, float]
+        self, claimed: dict[str, Endpoint], started_at: dict[Host, float]
     ) -> list[EndpointUpdate]:
         """Return updates that remove the endpoints whose address belongs to a process started later.
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -30,6 +30,7 @@
     "test_rule_checks.py": ("fleets-4",),
     "test_configuration_processes.py": ("fleets-4",),
     "test_flood_soak.py": ("fleets-3",),
+    "test_overload_soak.py": ("fleets-3",),
 }
 
 
