--- a/granitedock/service/client_protocol.py
+++ b/granitedock/service/client_protocol.py
@@ -26,7 +26,7 @@
 from granitedock.service.memory_budget import MemoryBudget
 from granitedock.service.resp import encode_bulk_string, has_unread_input, join_parts
 from granitedock.service.resp_receiver import RespReceiver
-from granitedock.service.socket_queue import peer_has_closed, unsent_bytes
+from granitedock.service.socket_queue import peer_has_closed, tells_state, unsent_bytes
 
 READ_COMMAND = b"API.READ"
 WRITE_COMMAND = b"API.WRITE"
@@ -176,6 +176,7 @@
         self.earliest_arrival_ms = inf
         self.may_wait_in_kernel = True  # Input may have arrived that no read has found.
         self.kernel_drained_at_ms = inf  # When a read last found all input, Unix ms.
+        self.tells_state = False  # Whether the kernel tells a close before it is read.
         self.input_held = False  # Until earlier commands have their replies.
         self.dropped_bytes = 0  # Bytes dropped since `drain_input` last resumed reading.
 
@@ -184,7 +185,8 @@
         self.transport.setTcpNoDelay(True)
         self.transport.bufferSize = self.limits.write_buffer  # Of output; reads have a size of their own.
         self.transport.registerProducer(self, True)
-        if self.scheduler is not None:
+        self.tells_state = self.scheduler is not None and tells_state(self.transport)
+        if self.scheduler is not None and self.tells_state:
             polls = self.scheduler.polls
             waited_ms = polls.ms_since_last_data(self.transport)  # In the listener's backlog.
             self.kernel_drained_at_ms = polls.last_poll_ended_ms - waited_ms
@@ -348,7 +350,7 @@
         """
         if not self.transport.connected:
             return True
-        if not peer_has_closed(self.transport):
+        if not (self.tells_state and peer_has_closed(self.transport)):
             return False
         self.ignoring_input = True
         self.transport.stopReading()
--- a/granitedock/service/socket_queue.py
+++ b/granitedock/service/socket_queue.py
@@ -11,7 +11,8 @@
 
 SIOCOUTQ = termios.TIOCOUTQ  # Linux has one number for both.
 INT_BYTES = 4
-# States in which the peer's FIN or RST has arrived, as the first byte of `struct tcp_info`.
+# States of a connection, as the first byte of `struct tcp_info`; in all but the first the peer has closed.
+ESTABLISHED = b"\1"
 TIME_WAIT, CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING = (bytes([state]) for state in (6, 7, 8, 9, 11))
 CLOSED_BY_PEER = frozenset({TIME_WAIT, CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING})
 LAST_DATA_RECEIVED = slice(52, 56)  # `tcpi_last_data_recv` in `struct tcp_info`.
@@ -35,16 +36,28 @@
     return int.from_bytes(queued, sys.byteorder)
 
 
+def connection_state(transport: Any) -> bytes:
+    """Return the state of a connection, the first byte of `struct tcp_info`, or b"" if unknown."""
+    try:
+        return transport.getHandle().getsockopt(IPPROTO_TCP, TCP_INFO, 1)
+    except OSError:
+        return b""
+
+
+def tells_state(transport: Any) -> bool:
+    """Return whether the state of a connection that was just accepted is one that it can have.
+
+    A library that leads sockets elsewhere may leave the descriptor in another state for good.
+    """
+    return connection_state(transport) in (ESTABLISHED, CLOSE_WAIT)
+
+
 def peer_has_closed(transport: Any) -> bool:
     """Return whether the peer has closed its direction of a connection, or reset it, read or not.
 
     Unread input hides a close from a read. A socket that cannot say counts as open.
     """
-    try:
-        state = transport.getHandle().getsockopt(IPPROTO_TCP, TCP_INFO, 1)
-    except OSError:
-        return False
-    return state in CLOSED_BY_PEER
+    return connection_state(transport) in CLOSED_BY_PEER
 
 
 def ms_since_last_data(transport: Any) -> float:
--- a/tests/lab/test_overload_soak.py
+++ b/tests/lab/test_overload_soak.py
@@ -1,8 +1,8 @@
 """A seeded soak in CI: real gateways with small limits, abusive clients, crowds and signals in series.
 
 Guards against late or lost answers, attempts for departed clients and memory over the limit. Clients use
-their open connections until the SIGKILL, which comes as early as the platform's terms allow. A long run by hand:
-`python -m granitedock.lab.soak 1 50 FOLDER`.
+their open connections until the SIGKILL, which comes as early as the platform's terms allow. A long run
+by hand: `python -m granitedock.lab.soak 1 50 FOLDER`.
 """
 
 import pytest
--- a/tests/service/test_client_overload.py
+++ b/tests/service/test_client_overload.py
@@ -12,6 +12,7 @@
 from granitedock.policy.rate_limiter import MIN_EVICTION_IDLE_MS
 from granitedock.service.resp import encode_command
 from granitedock.service.resp_receiver import UNRESERVED_BYTES
+from granitedock.service.socket_queue import CLOSE
 from granitedock.service.timer_queue import MIN_COMPACTED_TIMERS
 
 PING = encode_command(b"PING")
@@ -310,3 +311,12 @@
     send_as_new_customers(gateway, gateway.client(), 50)
     assert len(limiter.accounts) == gateway.limits.accounts
     assert rejected and gateway.state_machine.context.counts["customers_over"] == rejected
+
+
+def test_a_socket_that_was_never_established_says_nothing_about_a_close(make_gateway, monkeypatch):
+    """Guards against clients that count as gone where a library leads sockets elsewhere."""
+    monkeypatch.setattr("granitedock.service.socket_queue.connection_state", lambda _transport: CLOSE)
+    gateway = make_gateway()
+    client = gateway.client()
+    client.send(gateway.request())
+    assert gateway.accept_at_host().read().count(b"API.") == 1
