--- a/granitedock/service/listener.py
+++ b/granitedock/service/listener.py
@@ -58,19 +58,6 @@
         self.max_accepts_per_iteration = limits.accepts
         self.read_bytes = limits.read
 
-    def write(self, data: bytes) -> None:
-        """Pass the data to the socket if nothing waits before it, and buffer what the socket does not take.
-
-        Twisted's own `write` registers the socket for a later poll, at the cost of two system calls.
-        """
-        if self.connected and not (
-            self.disconnecting or self._writeDisconnected or self.dataBuffer or self._tempDataBuffer
-        ):
-            with suppress(OSError):  # The transport tries again, and reports an error that lasts.
-                data = data[self.socket.send(data) :]
-        if data:
-            super().write(data)
-
     def doRead(self) -> None:
         """Accept connections from the backlog, up to the limit for one iteration of the event loop."""
         self.numberAccepts = self.max_accepts_per_iteration
