--- a/review/stand_ins/client.py
+++ b/review/stand_ins/client.py
@@ -36,17 +36,20 @@
             self.writer.close()
             self.reader = self.writer = None
 
-    def command(self, name: str, kind: str, safe: bool, deadline_ms: int) -> bytes:
-        """Return a request as a command."""
-        fields = f"c={kind},t={self.plan},d={deadline_ms},units=1,spread={self.spread},first=0"
+    def command(self, name: str, kind: str, safe: bool, deadline_ms: int, key: bool = False) -> bytes:
+        """Return a request as a command; with `key` it carries an idempotency key."""
+        key_field = f"k={self.random.getrandbits(64):016x}," if key else ""
+        fields = f"c={kind},t={self.plan},d={deadline_ms},{key_field}units=1,spread={self.spread},first=0"
         return encode_command(
             b"API.READ" if safe else b"API.WRITE", self.customer, name.encode(), fields.encode()
         )
 
-    async def ask(self, kind: str, deadline_ms: int, safe: bool = True) -> tuple[str, object]:
+    async def ask(
+        self, kind: str, deadline_ms: int, safe: bool = True, key: bool = False
+    ) -> tuple[str, object]:
         """Send one request; returns its id and the answer, or the reason why there is none."""
         name = "%016x" % self.random.getrandbits(64)
-        command = self.command(name, kind, safe, deadline_ms)
+        command = self.command(name, kind, safe, deadline_ms, key)
         for last in (False, True):
             try:
                 await self.connect()
