Review case 9: keyed requests run in two cells after an address has a new host

Cause: a whole list that still names an ended host beside the new one at its address makes the old host new again. It takes the claim to the address from the host that started later, and both stay in use under one address.

--- a/review/stand_ins/discovery.py
+++ b/review/stand_ins/discovery.py
@@ -32,6 +32,7 @@
         self.hosts = {host["instanceId"]: host for host in hosts}
         self.changed_at = {name: generation for name in self.hosts}
         self.answer_after_s = 0.0
+        self.whole_first = False  # Whether the first answer of a watch is the whole list.
         self.log = log
         self.watches: set[asyncio.StreamWriter] = set()
         self.open_writers: set[asyncio.StreamWriter] = set()
@@ -82,10 +83,12 @@
                 body = self.line(True, list(self.hosts.values()))
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
                 return
+            first = self.line(True, list(self.hosts.values())) if self.whole_first else self.line(False, changed)
             writer.write(
                 b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
-                + chunk(self.line(False, changed))
+                + chunk(first)
             )
+            self.log("discovery's first answer:", first.decode().strip())
             self.watches.add(writer)
             beats = asyncio.ensure_future(self.beat(writer))
             await self.gone(reader)
