--- a/review/stand_ins/client.py
+++ b/review/stand_ins/client.py
@@ -8,6 +8,7 @@
 
 from stand_ins.resp import encode_command, read_value
 
+MOST_BUFFERED_BYTES = 128 * 1024
 LATE_S = 0.5  # Up to so long after its time an answer only earns nothing.
 
 
@@ -28,7 +29,7 @@
     async def connect(self) -> None:
         """Open the connection, if there is none."""
         if self.writer is None:
-            self.reader, self.writer = await asyncio.open_connection(self.host, self.port)
+            self.reader, self.writer = await asyncio.open_connection(self.host, self.port, limit=MOST_BUFFERED_BYTES)
 
     def close(self) -> None:
         """Close the connection."""
