Requests are parsed in a module of their own; questions to a socket stand together

Changed: parsed_request.py has ParsedRequest and its parsing, socket_queue.py has has_unread_input; nothing behaves differently.

--- a/granitedock/model_checking/gateway_events.py
+++ b/granitedock/model_checking/gateway_events.py
@@ -14,10 +14,10 @@
 )
 from granitedock.model_checking.modelled_request import ModelledRequest
 from granitedock.policy.types import Idempotency, Outcome
-from granitedock.service.client_protocol import parse_request
 from granitedock.service.discovery_protocol import EndpointListUpdate
 from granitedock.service.inputs import Input
 from granitedock.service.lifecycle import LifecycleEvent
+from granitedock.service.parsed_request import parse_request
 from granitedock.service.resp import encode_command
 
 if TYPE_CHECKING:
--- a/granitedock/service/discovery_protocol.py
+++ b/granitedock/service/discovery_protocol.py
@@ -19,7 +19,7 @@
 from granitedock.service.inputs import Input
 from granitedock.service.json_lines import JsonLineReader
 from granitedock.service.limits import Limits
-from granitedock.service.resp import has_unread_input
+from granitedock.service.socket_queue import has_unread_input
 
 HTTP_OK = 200
 STEP_BYTES = 2048  # Of a list, handled in one step.
--- a/granitedock/service/host_protocol.py
+++ b/granitedock/service/host_protocol.py
@@ -18,9 +18,9 @@
 from granitedock.service.input_scheduler import InputScheduler
 from granitedock.service.inputs import Input
 from granitedock.service.limits import Limits
-from granitedock.service.resp import ErrorReply, has_unread_input, join_parts
+from granitedock.service.resp import ErrorReply, join_parts
 from granitedock.service.resp_receiver import RespReceiver
-from granitedock.service.socket_queue import discard_on_close, unacknowledged_bytes
+from granitedock.service.socket_queue import discard_on_close, has_unread_input, unacknowledged_bytes
 
 # Each of the following is a `fullmatch` function, called as a predicate on the bytes of a reply.
 IS_OVERLOADED_ERROR = re.compile(rb"BUSY( [!-~]*)?").fullmatch
--- a/granitedock/service/in_flight_requests.py
+++ b/granitedock/service/in_flight_requests.py
@@ -23,10 +23,10 @@
 if TYPE_CHECKING:
     from granitedock.policy.gateway import Gateway
     from granitedock.service.client_connections import ClientConnection, ClientConnections
-    from granitedock.service.client_protocol import ParsedRequest
     from granitedock.service.context import Context
     from granitedock.service.delivery_bounds import DeliveryBounds
     from granitedock.service.lifecycle import Lifecycle
+    from granitedock.service.parsed_request import ParsedRequest
     from granitedock.service.reply_queues import ReplyQueues
     from granitedock.service.timers import Timer
 
--- a/granitedock/service/resp.py
+++ b/granitedock/service/resp.py
@@ -5,8 +5,7 @@
 
 from __future__ import annotations
 
-from socket import MSG_DONTWAIT, MSG_PEEK
-from typing import Any, TypeAlias
+from typing import TypeAlias
 
 LINE_END = b"\r\n"
 ZERO_DIGIT = ord("0")
@@ -46,14 +45,3 @@
 def join_parts(parts: list[bytes]) -> bytes:
     """Return the bytes of a value from its parts, which line ends separate."""
     return LINE_END.join(parts) + LINE_END
-
-
-def has_unread_input(transport: Any) -> bool:
-    """Return whether the socket has unread bytes, or the peer has closed the connection."""
-    try:
-        transport.getHandle().recv(1, MSG_PEEK | MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except OSError:
-        pass
-    return True
--- a/granitedock/service/socket_queue.py
+++ b/granitedock/service/socket_queue.py
@@ -1,4 +1,7 @@
-"""What the kernel knows of a connection. Sources: tcp(7), SIOCOUTQ, TCP_INFO; socket(7), SO_LINGER."""
+"""What the kernel knows of a connection.
+
+Sources: tcp(7), SIOCOUTQ, TCP_INFO; socket(7), SO_LINGER; recv(2), MSG_PEEK.
+"""
 
 from __future__ import annotations
 
@@ -6,7 +9,7 @@
 import sys
 import termios
 from fcntl import ioctl
-from socket import IPPROTO_TCP, SO_LINGER, SOL_SOCKET, TCP_INFO
+from socket import IPPROTO_TCP, MSG_DONTWAIT, MSG_PEEK, SO_LINGER, SOL_SOCKET, TCP_INFO
 from typing import Any
 
 SIOCOUTQ = termios.TIOCOUTQ  # Linux has one number for both.
@@ -36,6 +39,17 @@
     return int.from_bytes(queued, sys.byteorder)
 
 
+def has_unread_input(transport: Any) -> bool:
+    """Return whether the socket has unread bytes, or the peer has closed the connection."""
+    try:
+        transport.getHandle().recv(1, MSG_PEEK | MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        pass
+    return True
+
+
 def connection_state(transport: Any) -> bytes:
     """Return the state of a connection, the first byte of `struct tcp_info`, or b"" if unknown."""
     try:
@@ -57,10 +71,7 @@
 
     Unread input hides a close from a read. A socket that cannot say counts as open.
     """
-    try:
-        return transport.getHandle().getsockopt(IPPROTO_TCP, TCP_INFO, 1) in CLOSED_BY_PEER
-    except OSError:
-        return False
+    return connection_state(transport) in CLOSED_BY_PEER
 
 
 def ms_since_last_data(transport: Any) -> float:
--- a/tests/helpers/loopback.py
+++ b/tests/helpers/loopback.py
@@ -16,8 +16,8 @@
 from granitedock.gateway_process import build_gateway
 from granitedock.service.clock import Clock
 from granitedock.service.reactor import GatewayReactor
-from granitedock.service.resp import encode_command, has_unread_input
-from granitedock.service.socket_queue import unsent_bytes
+from granitedock.service.resp import encode_command
+from granitedock.service.socket_queue import has_unread_input, unsent_bytes
 from granitedock.service.timer_queue import TimerQueue
 
 # Unique to this process, so that no outgoing connection of another process on 127.0.0.1 takes the port.
--- a/tests/lab/test_overload_soak.py
+++ b/tests/lab/test_overload_soak.py
@@ -10,7 +10,7 @@
 from granitedock.lab.soak.abuse import Abuse, AbuseSource
 from granitedock.lab.soak.player import play_story
 from granitedock.lab.soak.story import CROWDS, FLOODS, KILL_AFTER_S, draw_story
-from granitedock.service.client_protocol import MAX_FIELDS
+from granitedock.service.parsed_request import MAX_FIELDS
 
 
 @pytest.mark.parametrize("seed", [1, 3, 4, 6])
--- a/tests/service/test_service_examples.py
+++ b/tests/service/test_service_examples.py
@@ -5,7 +5,7 @@
 
 
 def test_parse_request_reads_the_fields_and_keeps_the_bytes_around_the_deadline():
-    from granitedock.service.client_protocol import Limits, parse_request
+    from granitedock.service.parsed_request import Limits, parse_request
     from granitedock.service.resp import encode_command
 
     text = b"c=r,t=p,d=480,units=2,spread=3,first=1"
