No attempt for a client whose close the accepted descriptor does not tell of

Cause: whether a descriptor tells of a close was decided at the accept by its state. A connection that was reset in the backlog is in the state CLOSE, as one that a library left there, so that its client counted as present for good, while the socket still gives the request to a read. More widely: the state was the only way to see a close behind unread input, so that nothing saw one where a library redirects sockets.

Changed: CloseDetector takes the state only while the kernel counts the bytes that are read, and otherwise the error that waits on the socket; where the descriptor does not tell, the gateway reads ahead, within half of the budget for commands in part. A read has the last word: input without an end behind it means that the client is there, whatever the descriptor says. A connection that was reset before the accept ends at once, takes no room of others and is counted (client_links_reset).

Why it works: the descriptor's answer is confirmed or refuted by the one thing that a library must lead, the read, and a reset connection never reads as empty and open.

--- a/granitedock/service/client_connections.py
+++ b/granitedock/service/client_connections.py
@@ -85,6 +85,10 @@
 
     # Accepting connections.
 
+    def reset_in_backlog(self) -> None:
+        """Count a connection that its client reset before it was accepted; it ends with no further input."""
+        self.context.counts[counter_names.CLIENT_LINKS_RESET] += 1
+
     def connected(self, link: ClientLinkPort) -> None:
         """Register an accepted connection; over the limits, evict idle ones, pause accepting or reset it."""
         context = self.context
--- a/granitedock/service/client_protocol.py
+++ b/granitedock/service/client_protocol.py
@@ -16,6 +16,7 @@
 from zope.interface import implementer
 
 from granitedock.service.callbacks import InputHandler
+from granitedock.service.close_detector import CloseDetector, ReadAhead
 from granitedock.service.errors import RequestFormatError
 from granitedock.service.input_scheduler import InputScheduler, PollTimes
 from granitedock.service.inputs import Input
@@ -23,10 +24,12 @@
 from granitedock.service.memory_budget import MemoryBudget
 from granitedock.service.parsed_request import REQUEST_COMMANDS, parse_request
 from granitedock.service.resp_receiver import RespReceiver
-from granitedock.service.socket_queue import has_unread_input, peer_has_closed, tells_state, unsent_bytes
+from granitedock.service.socket_queue import has_unread_input, receive_available, unsent_bytes
 
 # Input that is read from a client that leaves replies unread; a read may exceed it.
 MAX_PAUSED_INPUT_BYTES = 4096
+# Of the budget for commands in part, what may be used up for input that is read ahead of the parser.
+MAX_AHEAD_SHARE = 0.5
 NOT_A_COMMAND = "not a command"  # A reason, sent to the client in an error reply.
 
 
@@ -56,7 +59,8 @@
         self.earliest_arrival_ms = inf
         self.may_wait_in_kernel = True  # Input may have arrived that no read has found.
         self.kernel_drained_at_ms = inf  # When a read last found all input, Unix ms.
-        self.tells_state = False  # Whether the kernel tells a close before it is read.
+        self.close_detector: CloseDetector | None = None  # Set at the accept; without a scheduler, None.
+        self.ahead_bytes = 0  # Of the budget, for buffered input that was read ahead.
         self.input_held = False  # Until earlier commands have their replies.
         self.dropped_bytes = 0  # Bytes dropped since `drain_input` last resumed reading.
 
@@ -65,19 +69,27 @@
         self.transport.setTcpNoDelay(True)
         self.transport.bufferSize = self.limits.write_buffer  # Of output; reads have a size of their own.
         self.transport.registerProducer(self, True)
-        self.tells_state = self.scheduler is not None and tells_state(self.transport)
-        if self.scheduler is not None and self.tells_state:
-            polls = self.scheduler.polls
-            waited_ms = polls.ms_since_last_data(self.transport)  # In the listener's backlog.
-            self.kernel_drained_at_ms = polls.last_poll_ended_ms - waited_ms
+        if self.scheduler is not None:
+            self.close_detector = CloseDetector(self.transport)
+            if self.close_detector.uses_state:
+                polls = self.scheduler.polls
+                waited_ms = polls.ms_since_last_data(self.transport)  # In the listener's backlog.
+                self.kernel_drained_at_ms = polls.last_poll_ended_ms - waited_ms
+            elif self.close_detector.tells_close() and self.has_closed():
+                self.handle_input(Input.CLIENT_RESET_IN_BACKLOG)
+                self.abort()
+                return
         self.handle_input(Input.CLIENT_CONNECTED, self)
 
     def connectionLost(self, _reason: Failure | None = None) -> None:
-        """Notify the state machine that the connection is lost."""
+        """Notify the state machine that the connection is lost, if it knows it."""
         self.release_budget()
+        self.clearLineBuffer()
+        self.release_ahead_bytes()
         record = self.record
         self.record = None  # Breaks a reference cycle that otherwise lives until a garbage collection.
-        self.handle_input(Input.CLIENT_DISCONNECTED, record)
+        if record is not None:
+            self.handle_input(Input.CLIENT_DISCONNECTED, record)
 
     def dataReceived(self, data: bytes) -> None:
         """Parse received bytes, and bound the input that is read and dropped.
@@ -94,8 +106,8 @@
             return
         if self.scheduler is not None and data:
             self.record_arrival(len(data), self.scheduler.polls)
-        if len(data) >= self.limits.read and self.check_peer():
-            return
+        if self.scheduler is not None and len(data) >= self.limits.read and self.may_be_closed():
+            self.wait_for_slice(self.scheduler.add_new)  # `continue_parsing` looks for the close.
         super().dataReceived(data)
         if self.paused and len(self._buffer) > MAX_PAUSED_INPUT_BYTES:
             self.may_wait_in_kernel = True
@@ -109,7 +121,10 @@
         arrival_ms = polls.earliest_arrival_ms
         if self.may_wait_in_kernel:
             arrival_ms = min(arrival_ms, self.kernel_drained_at_ms)
-        self.earliest_arrival_ms = min(self.earliest_arrival_ms, arrival_ms) if self._buffer else arrival_ms
+        has_earlier_input = self._buffer or self.parsing
+        self.earliest_arrival_ms = (
+            min(self.earliest_arrival_ms, arrival_ms) if has_earlier_input else arrival_ms
+        )
         self.may_wait_in_kernel = read_bytes >= self.limits.read
         if not self.may_wait_in_kernel:
             self.kernel_drained_at_ms = polls.last_poll_ended_ms
@@ -236,7 +251,7 @@
         """
         if not self.transport.connected:
             return True
-        if not (self.tells_state and peer_has_closed(self.transport)):
+        if not self.has_closed():
             return False
         self.ignoring_input = True
         self.transport.stopReading()
@@ -249,6 +264,53 @@
         if self.transport.connected:
             self.transport.connectionLost(Failure(ConnectionDone()))
 
+    def may_be_closed(self) -> bool:
+        """Return whether reading ahead has to show whether the client has closed the connection."""
+        detector = self.close_detector
+        if detector is None:
+            return False
+        detector.check_count(self.received_bytes)
+        return not detector.uses_state or detector.tells_close()
+
+    def has_closed(self) -> bool:
+        """Return whether the client has closed the connection, read or not."""
+        detector = self.close_detector
+        return detector is not None and self.may_be_closed() and detector.is_closed(self.read_ahead())
+
+    def read_ahead(self) -> ReadAhead:
+        """Buffer what has arrived, up to the length of a command and within the budget, to find a close."""
+        if self.ignoring_input or self.budget is None:
+            return ReadAhead.MORE
+        while len(self._buffer) < self.limits.whole and self.budget.take(self.limits.read, MAX_AHEAD_SHARE):
+            data = receive_available(self.transport, self.limits.read)
+            self.budget.give_back(self.limits.read - len(data or b""))
+            if not data:
+                return ReadAhead.NO_END if data is None else ReadAhead.END
+            self.ahead_bytes += len(data)
+            self.buffer_input(data)
+        return ReadAhead.MORE
+
+    def buffer_input(self, data: bytes) -> None:
+        """Buffer received bytes until a slice of time in which they are parsed."""
+        if self.scheduler is not None:
+            self.record_arrival(len(data), self.scheduler.polls)
+            if self.accepts_input():
+                self.wait_for_slice(self.scheduler.add_backlogged)
+        super().dataReceived(data)
+
+    def parse_input(self, data: bytes, deadline: float | None) -> bool:
+        """Parse the buffered bytes and the data; what is parsed leaves the budget."""
+        try:
+            return super().parse_input(data, deadline)
+        finally:
+            self.release_ahead_bytes()
+
+    def release_ahead_bytes(self) -> None:
+        """Free what the budget counts beyond the buffered input."""
+        if self.budget is not None and self.ahead_bytes > len(self._buffer):
+            self.budget.give_back(self.ahead_bytes - len(self._buffer))
+            self.ahead_bytes = len(self._buffer)
+
     def check_unread(self, then: str) -> None:
         """Handle the input `then` if no received byte is unread or unparsed, and all output is sent.
 
--- a/granitedock/service/counter_names.py
+++ b/granitedock/service/counter_names.py
@@ -10,6 +10,7 @@
 CLIENT_LINKS_OVER = "client_links_over"
 CLIENT_LINKS_SILENT = "client_links_silent"
 CLIENT_LINKS_RESTED = "client_links_rested"
+CLIENT_LINKS_RESET = "client_links_reset"  # Reset by their clients before they were accepted.
 CLIENT_LINKS_UNANSWERED = "client_links_unanswered"  # Reset by the gateway with commands pending.
 CLIENT_GONE = "client_gone"
 SLOW_READERS = "slow_readers"
--- a/granitedock/service/dispatcher.py
+++ b/granitedock/service/dispatcher.py
@@ -228,6 +228,7 @@
     Input.MAINTENANCE: GatewayStateMachine.maintain,
     Input.ADDRESSES_CHANGED: GatewayStateMachine.addresses_changed,
     Input.POLICY_TIMER_FIRED: GatewayStateMachine.policy_timer_fired,
+    Input.CLIENT_RESET_IN_BACKLOG: lambda gateway: gateway.clients.reset_in_backlog(),
     Input.CLIENT_CONNECTED: lambda gateway, link: gateway.clients.connected(link),
     Input.CLIENT_DISCONNECTED: lambda gateway, client: gateway.clients.disconnected(client),
     Input.CLIENT_SILENT: lambda gateway, client: gateway.clients.close_silent(client),
--- a/granitedock/service/inputs.py
+++ b/granitedock/service/inputs.py
@@ -18,6 +18,7 @@
     ADDRESSES_CHANGED = "addresses changed"  # The platform file has another counter or discovery address.
     POLICY_TIMER_FIRED = "policy timer fired"
 
+    CLIENT_RESET_IN_BACKLOG = "client reset in backlog"  # Before its connection was accepted.
     CLIENT_CONNECTED = "client connected"
     CLIENT_DISCONNECTED = "client disconnected"
     CLIENT_SILENT = "client silent"  # A candidate for eviction has sent no request and has no unread bytes.
--- a/granitedock/service/memory_budget.py
+++ b/granitedock/service/memory_budget.py
@@ -10,9 +10,9 @@
         self.limit_bytes = limit_bytes
         self.used_bytes = 0
 
-    def take(self, count: int) -> bool:
-        """Reserve bytes, or return False and reserve none if the limit would be exceeded."""
-        if self.used_bytes + count > self.limit_bytes:
+    def take(self, count: int, share: float = 1.0) -> bool:
+        """Reserve bytes, or return False and reserve none if this share of the limit would be exceeded."""
+        if self.used_bytes + count > self.limit_bytes * share:
             return False
         self.used_bytes += count
         return True
--- a/granitedock/service/socket_queue.py
+++ b/granitedock/service/socket_queue.py
@@ -1,15 +1,16 @@
 """What the kernel knows of a connection.
 
-Sources: tcp(7), SIOCOUTQ, TCP_INFO; socket(7), SO_LINGER; recv(2), MSG_PEEK.
+Sources: tcp(7), SIOCOUTQ, TCP_INFO; socket(7), SO_ERROR, SO_LINGER; recv(2), MSG_PEEK.
 """
 
 from __future__ import annotations
 
+import errno
 import struct
 import sys
 import termios
 from fcntl import ioctl
-from socket import IPPROTO_TCP, MSG_DONTWAIT, MSG_PEEK, SO_LINGER, SOL_SOCKET, TCP_INFO
+from socket import IPPROTO_TCP, MSG_DONTWAIT, MSG_PEEK, SO_ERROR, SO_LINGER, SOL_SOCKET, TCP_INFO
 from typing import Any
 
 SIOCOUTQ = termios.TIOCOUTQ  # Linux has one number for both.
@@ -18,7 +19,11 @@
 ESTABLISHED = b"\1"
 TIME_WAIT, CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING = (bytes([state]) for state in (6, 7, 8, 9, 11))
 CLOSED_BY_PEER = frozenset({TIME_WAIT, CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING})
-LAST_DATA_RECEIVED = slice(52, 56)  # `tcpi_last_data_recv` in `struct tcp_info`.
+# Errors after which a connection is over. Others may be temporary, as those of an unreachable network.
+FINAL_ERRORS = frozenset({errno.ECONNRESET, errno.EPIPE, errno.ECONNABORTED, errno.ETIMEDOUT})
+# Fields of `struct tcp_info`.
+LAST_DATA_RECEIVED = slice(52, 56)  # `tcpi_last_data_recv`
+BYTES_RECEIVED = slice(128, 136)  # `tcpi_bytes_received`
 NO_LINGER = struct.pack("ii", 1, 0)  # On, for 0 s.
 
 
@@ -74,6 +79,39 @@
     return connection_state(transport) in CLOSED_BY_PEER
 
 
+def counted_input_bytes(transport: Any) -> int:
+    """Return how many bytes of input the kernel has received on a connection, read or not.
+
+    Returns 0 for a socket that cannot say.
+    """
+    try:
+        info = transport.getHandle().getsockopt(IPPROTO_TCP, TCP_INFO, BYTES_RECEIVED.stop)
+    except OSError:
+        return 0
+    return int.from_bytes(info[BYTES_RECEIVED], sys.byteorder)
+
+
+def take_connection_error(transport: Any) -> bool:
+    """Return whether an error that ended the connection waits for the next call on it.
+
+    The kernel reports an error once. Unread input does not hide it.
+    """
+    try:
+        return transport.getHandle().getsockopt(SOL_SOCKET, SO_ERROR) in FINAL_ERRORS
+    except OSError:
+        return False
+
+
+def receive_available(transport: Any, max_bytes: int) -> bytes | None:
+    """Return up to `max_bytes` that have arrived, b"" at the end of the connection, or None without input."""
+    try:
+        return transport.getHandle().recv(max_bytes, MSG_DONTWAIT)
+    except BlockingIOError:
+        return None
+    except OSError:
+        return b""
+
+
 def ms_since_last_data(transport: Any) -> float:
     """Return how long ago the latest data arrived, in ms; without data, the connection.
 
