A request is not dated by a descriptor that received no input

What callers would see: requests rejected at once where a library redirects sockets and leaves an old, open connection in the place of the accepted one.

How long input had waited in the backlog was taken from tcpi_last_data_recv of the accepted descriptor, which counts from the connection's start where nothing was received; the first request then counted as that old.

Changed: a descriptor on which the kernel has counted no input says 0: what is read later arrived after the accept.

--- a/granitedock/service/socket_queue.py
+++ b/granitedock/service/socket_queue.py
@@ -113,14 +113,16 @@
 
 
 def ms_since_last_data(transport: Any) -> float:
-    """Return how long ago the latest data arrived, in ms; without data, the connection.
+    """Return how long ago the latest input arrived on a connection, in ms.
 
-    Returns 0 for a socket that cannot say.
+    Returns 0 for a connection without input, and for a socket that cannot say.
     """
     try:
-        info = transport.getHandle().getsockopt(IPPROTO_TCP, TCP_INFO, LAST_DATA_RECEIVED.stop)
+        info = transport.getHandle().getsockopt(IPPROTO_TCP, TCP_INFO, BYTES_RECEIVED.stop)
     except OSError:
         return 0.0
+    if len(info) == BYTES_RECEIVED.stop and not any(info[BYTES_RECEIVED]):
+        return 0.0
     return float(int.from_bytes(info[LAST_DATA_RECEIVED], sys.byteorder))
 
 
--- a/tests/service/test_departed_clients.py
+++ b/tests/service/test_departed_clients.py
@@ -7,6 +7,7 @@
 """
 
 import socket
+import sys
 
 import pytest
 from loopback import VALUE, Peer
@@ -22,8 +23,10 @@
 
 from granitedock.service.counter_protocol import CounterProtocol
 from granitedock.service.resp import encode_command
+from granitedock.service.socket_queue import LAST_DATA_RECEIVED, ms_since_last_data
 
 OWN = "own"
+HOUR_MS = 3_600_000
 PING = encode_command(b"PING")
 PONG = b"+PONG\r\n"
 BUSY = b"-BUSY\r\n"
@@ -248,6 +251,29 @@
     assert replies_to(gateway, client, 2) == VALUE + PONG and not client.ended
 
 
+class AgedDescriptor:
+    """A TCP connection that has been open for an hour and never received anything."""
+
+    def getsockopt(self, level, option, size=0):
+        info = bytearray(232)  # `struct tcp_info`
+        info[0] = 1  # Established.
+        info[LAST_DATA_RECEIVED] = HOUR_MS.to_bytes(4, sys.byteorder)
+        return bytes(info[:size]) if option == socket.TCP_INFO else 0
+
+
+def test_a_request_is_not_dated_by_a_descriptor_that_received_no_input(make_gateway, monkeypatch):
+    """Guards against requests that count as an hour old where a library redirects sockets."""
+    monkeypatch.setattr(
+        "redirected_sockets.redirect", lambda sock, _: setattr(sock, "descriptor", AgedDescriptor())
+    )
+    gateway = make_gateway()
+    gateway.reactor.ms_since_last_data = ms_since_last_data
+    redirect_clients(gateway, ESTABLISHED)
+    client = gateway.client()
+    client.send(gateway.request())
+    assert replies_to(gateway, client, 1) == VALUE
+
+
 def test_a_long_request_of_a_client_that_stays_is_forwarded_whole(make_gateway_on):
     gateway = make_gateway_on()
     client = gateway.client()
