A seeded soak of clients that leave behind a crowd, and one record of ids a connection

Cause: no soak had clients that leave before their connection is accepted. The ids of departing clients were kept for a process and not for a connection, so that with several connections some closes were recorded for requests of another connection.

A piece that is sent carries its request ids.

--- a/granitedock/lab/soak/abuse.py
+++ b/granitedock/lab/soak/abuse.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from itertools import count
@@ -20,6 +20,7 @@
 CUSTOMERS = 2**33
 PROCESS_ID_STEP = 2**40  # request ids of one process
 DEADLINE_MS = 1500
+STAY_S = 0.05  # how long a client that leaves early waits for its answer
 
 
 class Abuse(StrEnum):
@@ -38,6 +39,9 @@
     HALF_FIELDS = "half fields"  # half of such a list, then silence
     MANY_WORDS = "many words"  # an unfinished command of many short words
     DEPART = "depart"  # many requests at once, then a close
+    LEAVE = "leave"  # one non-idempotent request, then soon a close
+    RESET = "reset"  # the same with a reset
+    RESET_MANY = "reset many"  # many requests at once, then soon a reset
     UNREAD = "unread"  # INFO without reading the replies
     IDLE = "idle"
 
@@ -46,18 +50,23 @@
 class Manner:
     """How a client of one kind behaves beside what it sends.
 
-    `interval_s` is the time between two pieces, 0 for as fast as the gateway reads. `reads` is whether the
-    client reads replies, and `closes` whether it closes the connection after its last piece.
+    `interval_s` is the time between two pieces and after the last one, 0 for as fast as the gateway reads.
+    `reads` is whether the client reads replies, `closes` whether it closes the connection after its last
+    piece, and `resets` whether a close is a reset.
     """
 
     interval_s: float = 0.0
     reads: bool = True
     closes: bool = False
+    resets: bool = False
 
 
 MANNERS = {
     Abuse.SLOW_BODY: Manner(interval_s=0.03),
     Abuse.DEPART: Manner(closes=True),
+    Abuse.LEAVE: Manner(interval_s=STAY_S, closes=True),
+    Abuse.RESET: Manner(interval_s=STAY_S, closes=True, resets=True),
+    Abuse.RESET_MANY: Manner(interval_s=STAY_S, closes=True, resets=True),
     Abuse.UNREAD: Manner(reads=False),
 }
 
@@ -67,62 +76,81 @@
     return MANNERS.get(abuse, Manner())
 
 
+@dataclass(frozen=True, slots=True)
+class Piece:
+    """Bytes that a client sends at once, and the ids of the requests that end in them."""
+
+    data: bytes
+    request_ids: Sequence[int] = ()
+
+
 class AbuseSource:
     """Creates the bytes of one process's connections."""
 
     def __init__(self, process_number: int, seed: str) -> None:
         self.random = Random(seed)
         self.ids = count(process_number * PROCESS_ID_STEP + 1)
-        self.sent_ids: list[int] = []  # of the connection that `DEPART` closes next
 
-    def pieces(self, abuse: Abuse) -> Iterator[bytes]:
+    def pieces(self, abuse: Abuse) -> Iterator[Piece]:
         """Return the pieces of a new connection; a source that ends leaves the connection open or closes."""
         return PIECES[abuse](self)
 
     def request(
         self, customer: int = 0, fields: bytes = b"", plan: bytes = b"p", body: bytes | None = None
-    ) -> bytes:
-        """Return an encoded request with a new id; `fields` are appended to the field list."""
+    ) -> Piece:
+        """Return an encoded request with a new id; `fields` are appended to the field list.
+
+        With a body it is not idempotent.
+        """
         request_id = next(self.ids)
-        self.sent_ids.append(request_id)
         name = b"read" if body is None else b"once"
         command = b"API.READ" if body is None else b"API.WRITE"
         text = b"c=%b,t=%b,d=%d,units=1,spread=1,first=0%b" % (name, plan, DEADLINE_MS, fields)
         words = (command, b"%016x" % customer, b"%016x" % request_id, text)
-        return encode_command(*words) if body is None else encode_command(*words, body)
+        data = encode_command(*words) if body is None else encode_command(*words, body)
+        return Piece(data, (request_id,))
 
-    def flood(self, command: bytes) -> Iterator[bytes]:
+    def flood(self, command: bytes) -> Iterator[Piece]:
         """Yield blocks of one command without end."""
-        block = BLOCK_COMMANDS * command
+        block = Piece(BLOCK_COMMANDS * command)
         while True:
             yield block
 
-    def request_flood(self, make_request: Callable[[], bytes]) -> Iterator[bytes]:
+    def block(self, make_request: Callable[[], Piece]) -> Piece:
+        """Return many requests as one piece."""
+        requests = [make_request() for _ in range(BLOCK_COMMANDS)]
+        data = b"".join(request.data for request in requests)
+        return Piece(data, [request_id for request in requests for request_id in request.request_ids])
+
+    def request_flood(self, make_request: Callable[[], Piece]) -> Iterator[Piece]:
         """Yield blocks of requests without end."""
         while True:
-            self.sent_ids.clear()
-            yield b"".join(make_request() for _ in range(BLOCK_COMMANDS))
+            yield self.block(make_request)
 
-    def new_customer_request(self) -> bytes:
+    def random_customer(self) -> int:
+        """Return a customer drawn at random."""
+        return self.random.randrange(CUSTOMERS)
+
+    def new_customer_request(self) -> Piece:
         """Return a request of a customer drawn at random."""
-        return self.request(self.random.randrange(CUSTOMERS))
+        return self.request(self.random_customer())
 
-    def single_requests(self, make_request: Callable[[], bytes]) -> Iterator[bytes]:
-        """Yield one request: its error ends the connection, and the client connects again at once."""
+    def single_requests(self, make_request: Callable[[], Piece]) -> Iterator[Piece]:
+        """Yield one request; if its error or the client ends the connection, the client connects again."""
         yield make_request()
 
-    def slow_body(self) -> Iterator[bytes]:
+    def slow_body(self) -> Iterator[Piece]:
         """Yield a long request in small pieces."""
-        data = self.request(body=self.random.randbytes(LONG_BODY_BYTES))
+        data = self.request(body=self.random.randbytes(LONG_BODY_BYTES)).data
         piece_bytes = self.random.choice((7, 100, 400, 1400))
         for start in range(0, len(data), piece_bytes):
-            yield data[start : start + piece_bytes]
+            yield Piece(data[start : start + piece_bytes])
 
-    def half_body(self) -> Iterator[bytes]:
+    def half_body(self) -> Iterator[Piece]:
         """Yield nearly all of a long request."""
-        yield self.request(body=self.random.randbytes(LONG_BODY_BYTES))[:-10]
+        yield Piece(self.request(body=self.random.randbytes(LONG_BODY_BYTES)).data[:-10])
 
-    def many_fields(self) -> Iterator[bytes]:
+    def many_fields(self) -> Iterator[Piece]:
         """Yield requests whose field lists have thousands of short fields."""
         fields = bytearray()
         for number in count():
@@ -132,21 +160,24 @@
         while True:
             yield self.request(fields=bytes(fields))
 
-    def half_fields(self) -> Iterator[bytes]:
+    def half_fields(self) -> Iterator[Piece]:
         """Yield nearly all of a request with thousands of short fields."""
-        yield next(self.many_fields())[:-10]
+        yield Piece(next(self.many_fields()).data[:-10])
 
-    def many_words(self) -> Iterator[bytes]:
+    def many_words(self) -> Iterator[Piece]:
         """Yield a command of many short words, but for the last one."""
-        yield b"*64\r\n$8\r\nAPI.READ\r\n" + 62 * (b"$900\r\n" + 900 * b"w" + b"\r\n")
+        yield Piece(b"*64\r\n$8\r\nAPI.READ\r\n" + 62 * (b"$900\r\n" + 900 * b"w" + b"\r\n"))
 
-    def departures(self) -> Iterator[bytes]:
+    def departures(self) -> Iterator[Piece]:
         """Yield many requests at once; the client closes after them."""
-        self.sent_ids = []
-        yield b"".join(self.request(self.random.randrange(CUSTOMERS)) for _ in range(BLOCK_COMMANDS))
+        yield self.block(self.new_customer_request)
+
+    def one_shot(self) -> Iterator[Piece]:
+        """Yield one request that is not idempotent; the client closes after it."""
+        yield self.request(self.random_customer(), body=b"order")
 
 
-PIECES: dict[Abuse, Callable[[AbuseSource], Iterator[bytes]]] = {
+PIECES: dict[Abuse, Callable[[AbuseSource], Iterator[Piece]]] = {
     Abuse.PING: lambda source: source.flood(encode_command(b"PING")),
     Abuse.INFO: lambda source: source.flood(encode_command(b"INFO")),
     Abuse.UNKNOWN_COMMAND: lambda source: source.flood(encode_command(b"XYZZY", b"a")),
@@ -160,6 +191,9 @@
     Abuse.HALF_FIELDS: AbuseSource.half_fields,
     Abuse.MANY_WORDS: AbuseSource.many_words,
     Abuse.DEPART: AbuseSource.departures,
+    Abuse.LEAVE: AbuseSource.one_shot,
+    Abuse.RESET: AbuseSource.one_shot,
+    Abuse.RESET_MANY: AbuseSource.departures,
     Abuse.UNREAD: lambda source: source.flood(encode_command(b"INFO")),
     Abuse.IDLE: lambda _source: iter(()),
 }
--- a/granitedock/lab/soak/abusive_process.py
+++ b/granitedock/lab/soak/abusive_process.py
@@ -10,6 +10,7 @@
 
 import selectors
 import socket
+import struct
 import sys
 import time
 from collections.abc import Iterator
@@ -17,12 +18,13 @@
 
 import orjson
 
-from granitedock.lab.soak.abuse import Abuse, AbuseSource, Manner, manner_of
+from granitedock.lab.soak.abuse import Abuse, AbuseSource, Manner, Piece, manner_of
 
 READ_BYTES = 1 << 16
 POLL_S = 0.01
 RECONNECT_S = 0.02
 ARGUMENTS = 6
+NO_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER on, for 0 s: a close resets the connection.
 
 
 @dataclass
@@ -39,11 +41,15 @@
 
 
 class AbusiveConnection:
-    """One connection: the pieces that are left to send, and the unsent rest of the current one."""
+    """One connection: the pieces that are left to send, and the unsent rest of the current one.
 
-    def __init__(self, sock: socket.socket, pieces: Iterator[bytes]) -> None:
+    `request_ids` are those of its requests that are sent, or being sent, if its client will close it.
+    """
+
+    def __init__(self, sock: socket.socket, pieces: Iterator[Piece]) -> None:
         self.sock = sock
         self.pieces = pieces
+        self.request_ids: list[int] = []
         self.unsent = memoryview(b"")
         self.next_piece_at = 0.0
         self.finished = False  # All pieces are sent.
@@ -53,7 +59,9 @@
         if not self.unsent and now >= self.next_piece_at:
             piece = next(self.pieces, None)
             self.finished = piece is None
-            self.unsent = memoryview(piece or b"")
+            self.unsent = memoryview(piece.data if piece else b"")
+            if piece is not None and manner.closes:
+                self.request_ids += piece.request_ids
             self.next_piece_at = now + manner.interval_s
         if not self.unsent:
             return 0
@@ -120,7 +128,7 @@
                 self.end(sock)
                 continue
             if connection.finished and self.manner.closes:
-                self.depart(sock)
+                self.depart(sock, connection.request_ids)
         self.report.sent_bytes += sent
         if not self.selector.get_map():
             time.sleep(0.0 if sent else POLL_S)
@@ -140,11 +148,13 @@
         if not data:
             self.end(sock)
 
-    def depart(self, sock: socket.socket) -> None:
-        """Close a connection whose requests are sent, and record the time for each of them."""
+    def depart(self, sock: socket.socket, request_ids: list[int]) -> None:
+        """Close or reset a connection whose requests are sent, and record the time for each of them."""
+        if self.manner.resets:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
         self.close(sock)
         closed_at_s = time.monotonic()
-        for request_id in self.source.sent_ids:
+        for request_id in request_ids:
             self.report.closed_at_s[f"{request_id:x}"] = closed_at_s
 
     def end(self, sock: socket.socket) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -31,6 +31,7 @@
     "test_configuration_processes.py": ("fleets-4",),
     "test_flood_soak.py": ("fleets-3",),
     "test_overload_soak.py": ("fleets-3",),
+    "test_departure_soak.py": ("fleets-4",),
 }
 
 
--- a/tests/lab/test_overload_soak.py
+++ b/tests/lab/test_overload_soak.py
@@ -32,8 +32,9 @@
 def test_a_source_sends_new_ids_and_what_its_kind_says():
     source = AbuseSource(3, "seed")
     first, second = (next(source.pieces(Abuse.SMALL_REQUEST)) for _ in range(2))
-    assert first != second and first.count(b"API.READ") == second.count(b"API.READ")
-    assert next(source.pieces(Abuse.MANY_FIELDS)).count(b",") > MAX_FIELDS
+    assert first.data != second.data and first.data.count(b"API.READ") == second.data.count(b"API.READ")
+    assert len({*first.request_ids, *second.request_ids}) == 2 * first.data.count(b"API.READ")
+    assert next(source.pieces(Abuse.MANY_FIELDS)).data.count(b",") > MAX_FIELDS
     assert list(source.pieces(Abuse.IDLE)) == []
-    whole = b"".join(source.pieces(Abuse.SLOW_BODY))
+    whole = b"".join(piece.data for piece in source.pieces(Abuse.SLOW_BODY))
     assert whole.startswith(b"*5\r\n") and whole.endswith(b"\r\n")
