A close that a read has found holds for all attempts of the step

What callers would see: of several attempts that are due in one step, all but the first begin for a client that has left, where the descriptor does not tell of it.

Reading ahead found the end and the protocol then ignored input, so that the next look read nothing and took the client as present.

Changed: the detector keeps that the end was found.

--- a/granitedock/service/close_detector.py
+++ b/granitedock/service/close_detector.py
@@ -42,6 +42,7 @@
         self.uses_state = tells_state(transport)  # If not, a close may be found only by reading.
         self.has_checked_count = False
         self.is_broken = False  # The kernel has reported an error, which it does only once.
+        self.has_ended = False  # A read has found the end.
 
     def check_count(self, read_bytes: int) -> None:
         """Stop using the state if the kernel has not counted the bytes that were read on the connection."""
@@ -61,9 +62,9 @@
 
         Only if that is open, what the descriptor tells counts.
         """
-        if found is ReadAhead.MORE:
-            return self.tells_close()
-        if found is ReadAhead.NO_END:
+        if found is ReadAhead.END:
+            self.has_ended = True
+        elif found is ReadAhead.NO_END:
             self.uses_state = False
             self.is_broken = False
-        return found is ReadAhead.END
+        return self.has_ended or (found is ReadAhead.MORE and self.tells_close())
--- a/tests/service/test_departed_clients.py
+++ b/tests/service/test_departed_clients.py
@@ -149,6 +149,17 @@
     assert not gateway.state_machine.clients.connections
 
 
+@pytest.mark.parametrize("ending", ["reset", "close"])
+def test_none_of_the_attempts_that_are_due_in_one_step_begins_for_a_client_that_left(make_gateway_on, ending):
+    """Guards against a close that is found for the first of several attempts and forgotten for the others."""
+    gateway = make_gateway_on(hosts=8, sockets=256)
+    client = gateway.client()
+    client.send(REQUESTS["pipelined"](gateway))
+    leave(client, ending)
+    gateway.pass_ms(1000)
+    assert requests_at_hosts(gateway) == 0 and not gateway.state_machine.clients.connections
+
+
 @pytest.mark.parametrize("ending", ["reset", "close"])
 def test_no_attempt_begins_for_a_client_that_left_behind_input_that_is_not_read(make_gateway_on, ending):
     """Guards against attempts after a close that waits behind other input, whatever the sockets tell."""
