--- a/granitedock/service/client_connections.py
+++ b/granitedock/service/client_connections.py
@@ -300,14 +300,18 @@
         limits = context.limits
         if client.write_closed_at is None:
             if context.now - client.closing_since > limits.flush_ms:
-                context.counts[counter_names.SLOW_READERS] += 1
-                self.abort(client, "replies not read in time")
+                self._abort_slow_reader(client)
                 return
         elif context.now - client.write_closed_at > limits.close_ms:
             self.abort(client, "not closed by the client")
             return
         context.emit(client.link.drain_input)
 
+    def _abort_slow_reader(self, client: ClientConnection) -> None:
+        """Reset the connection of a client that leaves replies unread for too long."""
+        self.context.counts[counter_names.SLOW_READERS] += 1
+        self.abort(client, "replies not read in time")
+
     def _inspect_unread(self, client: ClientConnection) -> None:
         """Reset the connection of a client that has read nothing for `flush_ms` although replies wait."""
         context = self.context
@@ -316,8 +320,7 @@
             client.unsent_bytes = unsent_bytes
             client.unsent_since = context.now
         if context.now - client.unsent_since > context.limits.flush_ms:
-            context.counts[counter_names.SLOW_READERS] += 1
-            self.abort(client, "replies not read in time")
+            self._abort_slow_reader(client)
             return
         context.emit(client.link.check_peer)
 
@@ -329,8 +332,7 @@
         if client.pending or idle_ms <= idle_limit_ms:
             return
         if idle_ms > limits.flush_ms and client.link.unsent_bytes():
-            context.counts[counter_names.SLOW_READERS] += 1
-            self.abort(client, "replies not read in time")
+            self._abort_slow_reader(client)
             return
         # Sends no error reply, which a client could take for that to a request that crosses the close.
         context.emit(client.link.check_unread, Input.CLIENT_IDLE)
--- a/granitedock/service/input_scheduler.py
+++ b/granitedock/service/input_scheduler.py
@@ -114,7 +114,7 @@
         """Return the time until `run_turn` has work to do, or None if no connection waits."""
         if self.new:
             return 0.0
-        if self.preferred or self.others:
+        if self.has_backlog():
             return max(0.0, self.backlog_may_run_at - self.clock())
         return None
 
--- a/tests/service/test_departed_clients.py
+++ b/tests/service/test_departed_clients.py
@@ -183,12 +183,14 @@
     gateway = make_gateway(sockets=128)
     clients = [gateway.client() for _ in range(gateway.limits.client_links - 1)]
     gateway.pass_ms(gateway.limits.fresh_ms + 20)
+    readers = len(gateway.reactor.getReaders())
     gone = [connect_unaccepted(gateway) for _ in range(30)]
     for client in gone:
         leave(client, "reset")
     gateway.run_loop(20)
     counts = gateway.state_machine.context.counts
     assert len(gateway.state_machine.clients.connections) == len(clients)
+    assert len(gateway.reactor.getReaders()) == readers
     assert counts["client_links_reset"] == len(gone)
     assert not any(event == "accept paused" for event, _ in gateway.log_events)
     for client in clients:
