--- a/granitedock/lab/soak/departure_story.py
+++ b/granitedock/lab/soak/departure_story.py
@@ -4,43 +4,24 @@
 
 from random import Random
 
-from granitedock.lab.scenario import parse
 from granitedock.lab.soak.abuse import Abuse
-from granitedock.lab.soak.story import GATEWAYS, LEAST_MEMORY_MB, LENGTH_S, AbuseRun, Story, draw_signals
+from granitedock.lab.soak.story import (
+    GATEWAYS,
+    LEAST_MEMORY_MB,
+    LENGTH_S,
+    AbuseRun,
+    Story,
+    UsualClient,
+    draw_signals,
+    make_scenario,
+)
 
 LEAVERS = (Abuse.LEAVE, Abuse.RESET, Abuse.RESET_MANY, Abuse.DEPART)
 # Half of it is for clients, so that each crowd fills the listener's backlog.
 SOCKETS = 256
 RESTART_SHARE = 0.5  # Of the stories, which have a planned restart.
-SCENARIO = """
-seed = %d
-length_s = 60
-[fleet]
-gateways = 2
-memory_mb = %d
-sockets = %d
-[[plans]]
-rate = 200
-burst = 200
-[[fleet.zones]]
-name = "east"
-hosts = 4
-service = { kind = "exponential", mean_ms = 8 }
-[[clients]]
-customer = 161
-product = "read"
-plan = "p"
-rate = 20
-spread = 2
-left_ms = 3000
-[[clients]]
-customer = 163
-product = "once"
-plan = "p"
-rate = 10
-spread = 2
-left_ms = 3000
-"""
+# With time left for a wait in the backlog.
+USUAL_CLIENTS = (UsualClient(161, "read", 20, 3000), UsualClient(163, "once", 10, 3000))
 
 
 def draw_departure_story(seed: int) -> Story:
@@ -54,5 +35,5 @@
     ]
     memory_mb = random.choice((LEAST_MEMORY_MB, 192))
     signals = draw_signals(random) if random.random() < RESTART_SHARE else ()
-    scenario = parse(SCENARIO % (seed, memory_mb, SOCKETS))
+    scenario = make_scenario(seed, memory_mb, SOCKETS, USUAL_CLIENTS)
     return Story(seed, scenario, (crowd, *leavers), signals)
--- a/granitedock/lab/soak/story.py
+++ b/granitedock/lab/soak/story.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+from collections.abc import Iterable
 from dataclasses import dataclass
 from random import Random
 
@@ -36,7 +37,7 @@
     Abuse.IDLE,
 )
 CROWD_SHARE = 0.6  # Of the stories, which have a crowd beside the floods.
-SCENARIO = """
+FLEET = """
 seed = %d
 length_s = 60
 [fleet]
@@ -50,30 +51,41 @@
 name = "east"
 hosts = 4
 service = { kind = "exponential", mean_ms = 8 }
+"""
+CLIENT = """
 [[clients]]
-customer = 161
-product = "read"
-plan = "p"
-rate = 20
-spread = 2
-left_ms = 400
-[[clients]]
-customer = 162
-product = "mark"
-plan = "p"
-rate = 10
-spread = 2
-left_ms = 600
-[[clients]]
-customer = 163
-product = "once"
+customer = %d
+product = "%s"
 plan = "p"
-rate = 10
+rate = %d
 spread = 2
-left_ms = 600
+left_ms = %d
 """
 
 
+@dataclass(frozen=True, slots=True)
+class UsualClient:
+    """The steady requests of one customer, beside those of abusive clients."""
+
+    customer: int
+    request_class: str
+    rate_per_s: int
+    left_ms: int  # Until the deadline, when the client sends.
+
+
+USUAL_CLIENTS = (
+    UsualClient(161, "read", 20, 400),
+    UsualClient(162, "mark", 10, 600),
+    UsualClient(163, "once", 10, 600),
+)
+
+
+def make_scenario(seed: int, memory_mb: int, sockets: int, clients: Iterable[UsualClient]) -> Scenario:
+    """Return a scenario of two gateways with these limits."""
+    texts = [CLIENT % (each.customer, each.request_class, each.rate_per_s, each.left_ms) for each in clients]
+    return parse(FLEET % (seed, memory_mb, sockets) + "".join(texts))
+
+
 @dataclass(frozen=True, slots=True)
 class AbuseRun:
     """One process of abusive clients, at one gateway."""
@@ -123,7 +135,7 @@
         abuses.append(
             AbuseRun(random.choice(CROWDS), connections, random.randrange(GATEWAYS), 0.2, LENGTH_S - 1.0)
         )
-    scenario = parse(SCENARIO % (seed, memory_mb, SOCKETS))
+    scenario = make_scenario(seed, memory_mb, SOCKETS, USUAL_CLIENTS)
     return Story(seed, scenario, tuple(abuses), draw_signals(random))
 
 
