A read ahead that fails for a moment does not end a living client's connection

What callers would see: a request lost with its connection, where the descriptor does not tell of a close and a read fails with ENOMEM, ENOBUFS or EINTR (recv(2)).

Changed: these errors say nothing about the connection; the descriptor decides, as where more input waits than may be read ahead.

--- a/granitedock/service/client_protocol.py
+++ b/granitedock/service/client_protocol.py
@@ -16,7 +16,7 @@
 from zope.interface import implementer
 
 from granitedock.service.callbacks import InputHandler
-from granitedock.service.close_detector import CloseDetector, ReadAhead
+from granitedock.service.close_detector import CloseDetector, ReadAhead, read_once
 from granitedock.service.errors import RequestFormatError
 from granitedock.service.input_scheduler import InputScheduler, PollTimes
 from granitedock.service.inputs import Input
@@ -24,7 +24,7 @@
 from granitedock.service.memory_budget import MemoryBudget
 from granitedock.service.parsed_request import REQUEST_COMMANDS, parse_request
 from granitedock.service.resp_receiver import RespReceiver
-from granitedock.service.socket_queue import has_unread_input, receive_available, unsent_bytes
+from granitedock.service.socket_queue import has_unread_input, unsent_bytes
 
 # Input that is read from a client that leaves replies unread; a read may exceed it.
 MAX_PAUSED_INPUT_BYTES = 4096
@@ -282,12 +282,13 @@
         if self.ignoring_input or self.budget is None:
             return ReadAhead.MORE
         while len(self._buffer) < self.limits.whole and self.budget.take(self.limits.read, MAX_AHEAD_SHARE):
-            data = receive_available(self.transport, self.limits.read)
-            self.budget.give_back(self.limits.read - len(data or b""))
-            if not data:
-                return ReadAhead.NO_END if data is None else ReadAhead.END
-            self.ahead_bytes += len(data)
-            self.buffer_input(data)
+            found = read_once(self.transport, self.limits.read)
+            if isinstance(found, ReadAhead):
+                self.budget.give_back(self.limits.read)
+                return found
+            self.budget.give_back(self.limits.read - len(found))
+            self.ahead_bytes += len(found)
+            self.buffer_input(found)
         return ReadAhead.MORE
 
     def buffer_input(self, data: bytes) -> None:
--- a/granitedock/service/close_detector.py
+++ b/granitedock/service/close_detector.py
@@ -14,7 +14,9 @@
 
 from __future__ import annotations
 
+import errno
 from enum import Enum, auto
+from socket import MSG_DONTWAIT
 from typing import Any
 
 from granitedock.service.socket_queue import (
@@ -24,13 +26,27 @@
     tells_state,
 )
 
+# Errors of a read that say nothing about the connection. Source: recv(2).
+TEMPORARY_ERRORS = frozenset({errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
+
 
 class ReadAhead(Enum):
     """What reading ahead of the parser has found."""
 
     END = auto()  # The end of the connection.
     NO_END = auto()  # All that has arrived, and no end.
-    MORE = auto()  # More input than may be read ahead.
+    MORE = auto()  # More input than may, or can now, be read ahead.
+
+
+def read_once(transport: Any, max_bytes: int) -> bytes | ReadAhead:
+    """Return up to `max_bytes` that have arrived, or what it means that there are none."""
+    try:
+        data: bytes = transport.getHandle().recv(max_bytes, MSG_DONTWAIT)
+    except BlockingIOError:
+        return ReadAhead.NO_END
+    except OSError as error:
+        return ReadAhead.MORE if error.errno in TEMPORARY_ERRORS else ReadAhead.END
+    return data or ReadAhead.END
 
 
 class CloseDetector:
--- a/granitedock/service/socket_queue.py
+++ b/granitedock/service/socket_queue.py
@@ -102,16 +102,6 @@
         return False
 
 
-def receive_available(transport: Any, max_bytes: int) -> bytes | None:
-    """Return up to `max_bytes` that have arrived, b"" at the end of the connection, or None without input."""
-    try:
-        return transport.getHandle().recv(max_bytes, MSG_DONTWAIT)
-    except BlockingIOError:
-        return None
-    except OSError:
-        return b""
-
-
 def ms_since_last_data(transport: Any) -> float:
     """Return how long ago the latest input arrived on a connection, in ms.
 
--- a/tests/helpers/redirected_sockets.py
+++ b/tests/helpers/redirected_sockets.py
@@ -4,6 +4,7 @@
 kernel knows of the descriptor itself is the state of a socket that the library left there.
 """
 
+import os
 import socket
 import struct
 
@@ -20,6 +21,12 @@
 
     descriptor = None
     others = ()  # Sockets that have to stay open with it.
+    read_error = 0  # Fails the reads that do not wait, unless 0.
+
+    def recv(self, max_bytes, flags=0):
+        if self.read_error and flags & socket.MSG_DONTWAIT:
+            raise OSError(self.read_error, os.strerror(self.read_error))
+        return super().recv(max_bytes, flags)
 
     def getsockopt(self, *arguments):
         return self.descriptor.getsockopt(*arguments)
--- a/tests/service/test_departed_clients.py
+++ b/tests/service/test_departed_clients.py
@@ -6,6 +6,7 @@
 left there, whose state says nothing about the client.
 """
 
+import errno
 import socket
 import sys
 
@@ -264,6 +265,18 @@
     assert replies_to(gateway, client, 2) == VALUE + PONG and not client.ended
 
 
+@pytest.mark.parametrize("error", [errno.EINTR, errno.ENOBUFS, errno.ENOMEM])
+def test_a_client_that_stays_is_served_when_reads_ahead_fail_for_a_moment(make_gateway, error):
+    """Guards against a living client that counts as gone by an error that says nothing about it."""
+    gateway = make_gateway()
+    redirect_clients(gateway, UNCONNECTED)
+    client = gateway.client()
+    [link] = gateway.client_links()
+    link.transport.socket.read_error = error
+    client.send(gateway.request())
+    assert replies_to(gateway, client, 1) == VALUE and not client.ended
+
+
 class AgedDescriptor:
     """A TCP connection that has been open for an hour and never received anything."""
 
