Only clients with requests in flight are read ahead, and one read is always allowed

What callers would see: where the descriptor does not tell, requests run for clients that left while hundreds of others flood and read nothing.

Cause: every look read up to 68 KiB ahead, also on connections without a request, so that floods of INFO used up the budget and closes of others stayed hidden behind it.

Changed: where nothing is told of a close, a look reads ahead only before an attempt, and in the maintenance for clients with pending commands; what one read takes is outside the budget, as for every connection.

--- a/granitedock/service/client_connections.py
+++ b/granitedock/service/client_connections.py
@@ -286,7 +286,7 @@
             self._inspect_unread(client)
         elif client.link.input_waits():
             client.partial_since = 0.0
-            self.context.emit(client.link.check_peer)
+            self.context.emit(client.link.check_peer, bool(client.pending))
         elif self.lifecycle.shutting and not client.pending:
             self.close_if_idle(client)
         elif client.link.has_partial_message():
@@ -322,7 +322,7 @@
         if context.now - client.unsent_since > context.limits.flush_ms:
             self._abort_slow_reader(client)
             return
-        context.emit(client.link.check_peer)
+        context.emit(client.link.check_peer, bool(client.pending))
 
     def _inspect_idle(self, client: ClientConnection) -> None:
         context = self.context
--- a/granitedock/service/client_protocol.py
+++ b/granitedock/service/client_protocol.py
@@ -75,7 +75,7 @@
                 polls = self.scheduler.polls
                 waited_ms = polls.ms_since_last_data(self.transport)  # In the listener's backlog.
                 self.kernel_drained_at_ms = polls.last_poll_ended_ms - waited_ms
-            elif self.close_detector.tells_close() and self.has_closed():
+            elif self.has_closed(look_ahead=False):
                 self.handle_input(Input.CLIENT_RESET_IN_BACKLOG)
                 self.abort()
                 return
@@ -106,7 +106,7 @@
             return
         if self.scheduler is not None and data:
             self.record_arrival(len(data), self.scheduler.polls)
-        if self.scheduler is not None and len(data) >= self.limits.read and self.may_be_closed():
+        if self.scheduler is not None and len(data) >= self.limits.read and self.is_told_of_close():
             self.wait_for_slice(self.scheduler.add_new)  # `continue_parsing` looks for the close.
         super().dataReceived(data)
         if self.paused and len(self._buffer) > MAX_PAUSED_INPUT_BYTES:
@@ -136,7 +136,7 @@
 
     def continue_parsing(self, deadline: float) -> None:
         """Parse buffered input, unless the client has closed the connection since it was read."""
-        if not self.check_peer():
+        if not self.check_peer(look_ahead=False):
             super().continue_parsing(deadline)
 
     def value_received(self, value: Any, parts: list[bytes]) -> None:
@@ -244,14 +244,15 @@
         self.input_held = False
         self.resume_input()
 
-    def check_peer(self) -> bool:
+    def check_peer(self, look_ahead: bool = True) -> bool:
         """Return whether the client has closed the connection; if so, end it.
 
-        Needed where the close may be unread behind other input.
+        Needed where the close may be unread behind other input. `look_ahead` is whether to read ahead where
+        the descriptor does not tell of a close, which takes memory from a common budget.
         """
         if not self.transport.connected:
             return True
-        if not self.has_closed():
+        if not self.has_closed(look_ahead):
             return False
         self.ignoring_input = True
         self.transport.stopReading()
@@ -264,30 +265,43 @@
         if self.transport.connected:
             self.transport.connectionLost(Failure(ConnectionDone()))
 
-    def may_be_closed(self) -> bool:
-        """Return whether reading ahead has to show whether the client has closed the connection."""
+    def is_told_of_close(self) -> bool:
+        """Return whether the descriptor tells of a close, which reading ahead has to confirm."""
         detector = self.close_detector
         if detector is None:
             return False
         detector.check_count(self.received_bytes)
-        return not detector.uses_state or detector.tells_close()
+        return detector.tells_close()
 
-    def has_closed(self) -> bool:
+    def has_closed(self, look_ahead: bool) -> bool:
         """Return whether the client has closed the connection, read or not."""
         detector = self.close_detector
-        return detector is not None and self.may_be_closed() and detector.is_closed(self.read_ahead())
+        if detector is None:
+            return False
+        is_told = self.is_told_of_close()
+        if not is_told and (detector.uses_state or not look_ahead):
+            return False
+        return detector.is_closed(self.read_ahead())
 
     def read_ahead(self) -> ReadAhead:
-        """Buffer what has arrived, up to the length of a command and within the budget, to find a close."""
+        """Buffer what has arrived, up to the length of a command, to find a close.
+
+        Beyond what one read takes, the input counts against the budget.
+        """
         if self.ignoring_input or self.budget is None:
             return ReadAhead.MORE
-        while len(self._buffer) < self.limits.whole and self.budget.take(self.limits.read, MAX_AHEAD_SHARE):
-            found = read_once(self.transport, self.limits.read)
+        max_bytes = self.limits.read
+        while len(self._buffer) < self.limits.whole:
+            is_budgeted = len(self._buffer) >= max_bytes
+            if is_budgeted and not self.budget.take(max_bytes, MAX_AHEAD_SHARE):
+                break
+            found = read_once(self.transport, max_bytes)
+            read_bytes = 0 if isinstance(found, ReadAhead) else len(found)
+            if is_budgeted:
+                self.budget.give_back(max_bytes - read_bytes)
+                self.ahead_bytes += read_bytes
             if isinstance(found, ReadAhead):
-                self.budget.give_back(self.limits.read)
                 return found
-            self.budget.give_back(self.limits.read - len(found))
-            self.ahead_bytes += len(found)
             self.buffer_input(found)
         return ReadAhead.MORE
 
--- a/granitedock/service/ports.py
+++ b/granitedock/service/ports.py
@@ -109,8 +109,11 @@
         """Go on reading and parsing."""
         ...
 
-    def check_peer(self) -> bool:
-        """Return whether the client has closed the connection, read or not; if so, end it."""
+    def check_peer(self, look_ahead: bool = True) -> bool:
+        """Return whether the client has closed the connection, read or not; if so, end it.
+
+        `look_ahead` is whether to read ahead for a close that nothing else tells of.
+        """
         ...
 
     def check_unread(self, then: Input) -> None:
