--- a/granitedock/policy/retry_rules.py
+++ b/granitedock/policy/retry_rules.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
 
@@ -48,6 +49,21 @@
     return None
 
 
+def possible_executors(request: Request) -> Iterator[Host]:
+    """Yield each process that may have run the request.
+
+    An attempt at a process that had ended, unknown to this gateway, may have reached its successor at the
+    address, which may belong to another zone or cell.
+    """
+    for attempt in request.attempts:
+        if attempt.outcome in NEVER_RAN:
+            continue
+        host: Host | None = attempt.host
+        while host is not None:
+            yield host
+            host = host.successor
+
+
 def retry_condition(request: Request) -> RepeatCondition:
     """Return the condition for a retry after an attempt that may have run."""
     return REPEAT_RULES[request.request_class.idempotency].retry
@@ -59,7 +75,10 @@
 
 
 def retry_hosts(request: Request, execution: Attempt, hosts: list[Host], now: float) -> list[Host]:
-    """Return those of the hosts that may receive the request again after `execution`, which may have run."""
+    """Return those of the hosts that may receive the request again after `execution`, which may have run.
+
+    Within a zone or cell these are the hosts that drop the repeat wherever the request has run.
+    """
     condition = retry_condition(request)
     if condition is RepeatCondition.ALWAYS:
         return hosts
@@ -67,9 +86,11 @@
         return []
     scope = request.request_class.idempotency_scope
     if scope is IdempotencyScope.ZONE:
-        return [host for host in hosts if host.zone == execution.host.zone]
+        zones = {executor.zone for executor in possible_executors(request)}
+        return [host for host in hosts if zones == {host.zone}]
     if scope is IdempotencyScope.CELL:
-        return [host for host in hosts if host.cell == execution.host.cell]
+        cells = {executor.cell for executor in possible_executors(request)}
+        return [host for host in hosts if cells == {host.cell}]
     return hosts
 
 
--- a/granitedock/policy/types.py
+++ b/granitedock/policy/types.py
@@ -148,6 +148,8 @@
     status: EndpointStatus = EndpointStatus.READY
     health: Any = None  # The `HostHealth` of the policy, opaque to other packages.
     name: str = ""  # Set by the carrier and used in messages to other gateways; no decision reads it.
+    # The process that started later at the address of this one, set by the carrier.
+    successor: Host | None = None
 
 
 @dataclass(eq=False, slots=True, weakref_slot=True)
--- a/granitedock/service/endpoints.py
+++ b/granitedock/service/endpoints.py
@@ -82,19 +82,26 @@
         removed = [self.by_name[entry.name] for entry in change.removed if entry.name in self.by_name]
         ended = [*replaced, *removed, *self._superseded(change.superseded)]
         self.policy.update_endpoints([*running, *map(removal, ended)], listing.complete)
-        for endpoint in [*replaced, *self.by_name.values()]:
-            if endpoint.status is not EndpointStatus.READY:
-                self._stop_using(endpoint)
+        known = [*replaced, *self.by_name.values()]
+        not_ready = [endpoint for endpoint in known if endpoint.status is not EndpointStatus.READY]
+        self._set_successors(not_ready)
+        for endpoint in not_ready:
+            self._stop_using(endpoint)
         if self.outlier_detector is not None:
             self.outlier_detector.update_hosts(self.by_name, self.context.now)
 
     def _pop_replaced(self, running: list[EndpointEntry]) -> list[Endpoint]:
         """Remove and return the endpoints of hosts that are another process now, or at another address.
 
-        What is known of such an endpoint says nothing of the process that follows it.
+        What is known of such an endpoint says nothing of the process that follows it. One that has had a
+        successor, which has left its address, is not used again either.
         """
         known = ((entry, self.by_name.get(entry.name)) for entry in running)
-        replaced = [endpoint for entry, endpoint in known if endpoint and not endpoint.is_process(entry)]
+        replaced = [
+            endpoint
+            for entry, endpoint in known
+            if endpoint and (endpoint.successor or not endpoint.is_process(entry))
+        ]
         for endpoint in replaced:
             del self.by_name[endpoint.name]
         return replaced
@@ -117,9 +124,28 @@
             self.context.event_log.event("host superseded", host=ended.name, by=owner.name)
             endpoint = self.by_name.get(ended.name)
             if endpoint is not None:
+                if owner.name not in self.by_name:
+                    endpoint.successor = endpoint.successor or new_endpoint(owner)  # It has ended as well.
                 superseded.append(endpoint)
         return superseded
 
+    def _set_successors(self, not_ready: list[Endpoint]) -> None:
+        """Set the successor of each endpoint that is gone, if another process has its address now.
+
+        Attempts that are in flight at the endpoint may have reached that process, also if the end of the
+        first one was told before it.
+        """
+        gone = [endpoint for endpoint in not_ready if endpoint.status is EndpointStatus.GONE]
+        if not gone:
+            return
+        listed = [
+            endpoint for endpoint in self.by_name.values() if endpoint.status is not EndpointStatus.GONE
+        ]
+        owners = {endpoint.address: endpoint for endpoint in listed if endpoint.address}
+        for endpoint in gone:
+            if endpoint.successor is None:
+                endpoint.successor = owners.get(endpoint.address)
+
     def _stop_using(self, endpoint: Endpoint) -> None:
         """Close the idle connections of an endpoint that drains or is gone, and bound deliveries to it."""
         if endpoint.idle:
--- a/tests/policy/test_request_decisions.py
+++ b/tests/policy/test_request_decisions.py
@@ -17,7 +17,7 @@
 )
 
 from granitedock.policy.states import BreakerState, HostState
-from granitedock.policy.types import Customer, EndpointStatus, Outcome
+from granitedock.policy.types import Customer, EndpointStatus, Host, Outcome
 
 
 def test_a_request_within_quota_is_counted_once_and_sent():
@@ -288,6 +288,18 @@
     assert len(harness.attempts) == 1 and len(harness.failed) == 1
 
 
+def test_a_keyed_request_is_not_retried_after_any_attempt_that_may_have_reached_another_zone():
+    """A process that took the address of an attempt's host, in another zone, would not drop the repeat."""
+    for zone, attempts in (("z", 3), ("other", 2)):
+        harness = GatewayHarness(hosts=4)
+        harness.admit(KEYED_BY_ZONE)
+        harness.finish(Outcome.RESET)
+        assert len(harness.attempts) == 2
+        harness.attempts[-1].host.successor = Host(zone="z", successor=Host(zone=zone))
+        harness.finish(Outcome.RESET)
+        assert len(harness.attempts) == attempts and bool(harness.failed) is (attempts == 2)
+
+
 def test_a_timeout_at_the_deadline_gives_one_final_answer_and_no_retry():
     harness = GatewayHarness()
     request = harness.admit(time_left_ms=900)
--- a/tests/service/test_reused_addresses.py
+++ b/tests/service/test_reused_addresses.py
@@ -7,8 +7,11 @@
 from typing import NamedTuple
 
 import pytest
+from fake_gateway import SETTINGS
 from loopback import START_MS, WATCH_RESPONSE_HEAD, chunk
 
+CELL_LANES = [lane | {"WindowMs": 2000, "DedupScope": "cell"} for lane in SETTINGS["Lanes"]]
+KEY = b",k=00000000000000b1"
 ERR = b"-ERR failed\r\n"
 
 
@@ -171,6 +174,57 @@
     assert len(gateway.state_machine.policy.load_balancer.tracked_hosts) == 1
 
 
+IN_CELL_1 = NEW._replace(cell=1)
+END_OF_OLD = OLD._replace(lifecycle="terminated")
+
+
+@pytest.mark.parametrize(
+    "news, repeated",
+    [
+        ([], True),
+        ([[NEW]], True),
+        ([[IN_CELL_1]], False),
+        ([[Entry("h0", START_MS, cell=1)]], False),
+        ([[END_OF_OLD], [IN_CELL_1]], False),
+        ([[IN_CELL_1._replace(lifecycle="terminated")]], False),
+        ([[IN_CELL_1], [Entry("third", START_MS + 5)]], False),
+    ],
+    ids=[
+        "no later process",
+        "in the same cell",
+        "in another cell",
+        "the host itself, in another cell",
+        "in another cell, after the end of the first was told",
+        "in another cell, and ended as well",
+        "in another cell, and a third one",
+    ],
+)
+def test_a_keyed_request_is_not_repeated_if_its_process_was_replaced_by_one_of_another_cell(
+    make_gateway, news, repeated
+):
+    """Guards against a second run in another cell: the first attempt may have reached the later process.
+
+    Another host is ready in each cell.
+    """
+    gateway = make_gateway(hosts=3, lanes=CELL_LANES, Safety=SETTINGS["Safety"] | {"ColdMs": 0})
+    send_entries(gateway, OLD, reset=True)
+    client = gateway.client()
+    client.send(gateway.request("mark", more=KEY))
+    host = gateway.accept_at_host()
+    assert b"API." in host.read()
+    send_entries(gateway, Entry("h1", cell=0, host=1), Entry("h2", cell=1, host=2))
+    for entries in news:
+        send_entries(gateway, *entries)
+    host.close()  # The connection ends, without an answer.
+    peers = [gateway.accept_at_host(number) for number in range(3)]
+    repeats = {number: peer for number, peer in enumerate(peers) if peer and b"API." in peer.read()}
+    if repeated:
+        assert len(repeats) == 1 and 2 not in repeats
+        gateway.answer_from_host(*repeats.values(), client)
+    else:
+        assert not repeats and client.read() == ERR
+
+
 def test_the_end_of_an_attempt_says_nothing_of_the_process_after_a_restart(make_gateway):
     """Guards against a healthy process that counts as failing for an attempt at the one before it."""
     gateway = make_gateway()
