--- a/granitedock/outlier_detection/detector.py
+++ b/granitedock/outlier_detection/detector.py
@@ -82,9 +82,12 @@
     ) -> None:
         """Publish the outcome; see OutlierDetectionPort.
 
-        An attempt that was never sent is no observation of the host.
+        An attempt that was never sent is no observation of the host, and neither is one at a process that
+        the host has replaced by a restart.
         """
         statistics = self._statistics_of(host)
+        if host.started_at < statistics.host_started_at:
+            return
         statistics.in_flight = max(0, statistics.in_flight - 1)
         if outcome is Outcome.ABANDONED:
             return
--- a/tests/outlier_detection/test_outlier_detection.py
+++ b/tests/outlier_detection/test_outlier_detection.py
@@ -69,6 +69,21 @@
     assert not ejected(detector, 1000.0, observation("x1"), observation("x2"))  # Not members.
 
 
+def test_an_attempt_at_the_process_before_a_restart_is_no_observation_of_the_one_after_it():
+    """Guards against the ejection of a healthy process for failures of the one that it has replaced."""
+    detector, hosts_by_name = detector_of()
+    before, after = hosts_by_name["h0"], Host(zone="a", name="h0", started_at=6.0)
+    for _ in range(3):
+        detector.attempt_started(before)
+    detector.update_hosts(hosts_by_name | {"h0": after}, 10.0)
+    detector.attempt_started(after)
+    for _ in range(3):
+        detector.attempt_finished(before, Outcome.RESET, 10.0, 1000.0, 20.0)
+    statistics = detector.statistics["h0"]
+    assert statistics.host_started_at == 6.0 and statistics.in_flight == 1 and not statistics.failures
+    assert detector.observations.local_observation("h0") is None  # Nothing is published for others.
+
+
 def test_the_limits_of_ejection_hold_whatever_is_observed():
     """Guards against observations that eject so many hosts that the rest, or a zone, lacks capacity."""
     detector, hosts_by_name = detector_of(live=[f"g{n}" for n in range(9)])
