--- a/granitedock/commands/laboratory.py
+++ b/granitedock/commands/laboratory.py
@@ -158,6 +158,11 @@
     show_default=True,
     help="Requests that each gateway has served at the start.",
 )
+@click.option(
+    "--replacement",
+    is_flag=True,
+    help="Hosts in two cells, of which one may be replaced by a process of the other cell at its address.",
+)
 @click.option(
     "--window-ms",
     default=1200.0,
@@ -191,6 +196,7 @@
     tasks: tuple[str, ...],
     faults: int,
     warm: int,
+    replacement: bool,
     window_ms: float,
     max_states: int,
     workers: int,
@@ -213,7 +219,7 @@
         description = describe_membership(MembershipWorldShape(gateways, faults, window_ms))
     else:
         tasks = tasks or ("once", "mark", "read")
-        description = describe_gateways(GatewayWorldShape(gateways, hosts, tasks, faults, warm))
+        description = describe_gateways(GatewayWorldShape(gateways, hosts, tasks, faults, warm, replacement))
     lines: list[str] = []
     echo = lines.append if quiet else click.echo
     try:
--- a/granitedock/model_checking/gateway_events.py
+++ b/granitedock/model_checking/gateway_events.py
@@ -92,8 +92,7 @@
     """Answer an attempt on behalf of its host, or reset its connection."""
     gateway = world.gateways[number]
     if outcome == move_names.RESET:
-        connection.open = False
-        connection.end_attempt(outcome)
+        connection.reset()
         gateway.handle(Input.HOST_DISCONNECTED, connection.record)
         return
     world.attempt_ended(number, name, attempt, outcome)
@@ -135,10 +134,21 @@
     gateway = world.gateways[number]
     if gateway.running:
         world.draining[number][host] = world.now
+        if world.replacement.replaced is not None:
+            world.replacement.told_gateways.add(number)
         endpoints = EndpointListUpdate(2, True, world.endpoint_entries(host))
         gateway.handle(Input.ENDPOINTS_RECEIVED, gateway.state_machine.watch, endpoints)
 
 
+def replacement_is_told(world: GatewayWorld, _outcome: str, _subject: None, number: int, form: str) -> None:
+    """Tell a running gateway of the process at the replaced host's address."""
+    gateway = world.gateways[number]
+    if gateway.running:
+        world.replacement.told_gateways.add(number)
+        news = world.replacement.news(form, world.host_entries())
+        gateway.handle(Input.ENDPOINTS_RECEIVED, gateway.state_machine.watch, news)
+
+
 # Faults.
 
 
@@ -173,6 +183,19 @@
             world.pending.add((move_names.ENDPOINT_UPDATE, gateway.number, host))
 
 
+def replace_host(world: GatewayWorld, host: int) -> None:
+    """End a host, whose connections are reset, and start a process of another cell at its address."""
+    world.replacement.replace(host, world.now)
+    for gateway in world.gateways:
+        if not gateway.running:
+            continue
+        for connection in gateway.connections_to(f"h{host}"):
+            connection.reset()
+            gateway.handle(Input.HOST_DISCONNECTED, connection.record)
+        for form in move_names.NEWS:
+            world.pending.add((move_names.REPLACEMENT_UPDATE, gateway.number, form))
+
+
 EVENTS: dict[str, Callable[..., None]] = {
     move_names.REQUEST: request_arrives,
     move_names.HOST_CONNECT: host_connects,
@@ -180,9 +203,11 @@
     move_names.COUNTER_CONNECT: counter_connects,
     move_names.COUNTER_REPLY: counter_replies,
     move_names.ENDPOINT_UPDATE: endpoints_change,
+    move_names.REPLACEMENT_UPDATE: replacement_is_told,
 }
 FAULTS: dict[str, Callable[[GatewayWorld, int], None]] = {
     move_names.KILL: kill,
     move_names.STOP: stop,
     move_names.DRAIN: drain,
+    move_names.REPLACE: replace_host,
 }
--- a/granitedock/model_checking/gateway_moves.py
+++ b/granitedock/model_checking/gateway_moves.py
@@ -1,8 +1,8 @@
 """The names of the moves in a world of gateways, as trace files contain them.
 
 A move is (DUE, an event's key..., its outcome), (DELAY, an event's key...), (PASS_TIME,), (KILL, gateway),
-(STOP, gateway) or (DRAIN, host). An event's key is its kind, the number of its gateway, and what
-distinguishes it from that gateway's other events. The key is the same on every path to a state.
+(STOP, gateway), (DRAIN, host) or (REPLACE, host). An event's key is its kind, the number of its gateway, and
+what distinguishes it from that gateway's other events. The key is the same on every path to a state.
 """
 
 from __future__ import annotations
@@ -16,6 +16,7 @@
 KILL = "kill"
 STOP = "stop"
 DRAIN = "drain"
+REPLACE = "replace"
 
 # Kinds of events, each with the rest of its key.
 REQUEST = "ask"  # A client sends a request: the request's name.
@@ -24,6 +25,13 @@
 COUNTER_CONNECT = "wire"  # A connection to the counter opens or fails: its number.
 COUNTER_REPLY = "total"  # The counter replies: the call's number at its gateway.
 ENDPOINT_UPDATE = "list"  # Discovery lists a host as draining: the host's number.
+REPLACEMENT_UPDATE = "successor"  # Discovery lists the process at a replaced host's address: the form.
+
+# The forms in which a gateway is told of the process at a replaced host's address.
+AS_CHANGE = "change"  # A change that names the new process alone.
+OLD_FIRST = "old first"  # A complete list that names the replaced host, and the new process behind it.
+NEW_FIRST = "new first"  # A complete list with the new process in front.
+NEWS = (AS_CHANGE, OLD_FIRST, NEW_FIRST)
 
 # Outcomes of events.
 RECEIVED = "asked"
@@ -46,6 +54,7 @@
     COUNTER_REPLY: (TOTAL, OVERLOADED, REPLY_LOST),
     COUNTER_CONNECT: (CONNECTED, REFUSED),
     ENDPOINT_UPDATE: (NOTIFIED,),
+    REPLACEMENT_UPDATE: (NOTIFIED,),
 }
 
 # States of an attempt without an outcome from its host; replays print them.
--- a/granitedock/model_checking/gateway_world.py
+++ b/granitedock/model_checking/gateway_world.py
@@ -2,10 +2,10 @@
 
 Each gateway is a real `GatewayStateMachine` with its policy. The model covers its environment: connections
 that are established or refused, hosts that respond in any possible way, a counter, clients, an endpoint list
-that marks a host as draining, gateways that are killed or stopped, and a clock that advances from one due
-timer to the next. Due events may happen in any order; an outcome other than the usual one costs one of the
-shape's faults. Time does not pass while an event is due, unless that event was delayed. The rules are checked
-from outside the gateways (`rule_checks`).
+that marks a host as draining, a host that is replaced, gateways that are killed or stopped, and a clock that
+advances from one due timer to the next. Due events may happen in any order; an outcome other than the usual
+one costs one of the shape's faults. Time does not pass while an event is due, unless that event was delayed.
+The rules are checked from outside the gateways (`rule_checks`).
 """
 
 from __future__ import annotations
@@ -25,6 +25,7 @@
     START_MS,
     GatewayWorldShape,
 )
+from granitedock.model_checking.host_replacement import HostReplacement
 from granitedock.model_checking.modelled_connections import ModelledHostConnection
 from granitedock.model_checking.modelled_gateway import WORLD_KIND, ModelledGateway
 from granitedock.model_checking.modelled_request import ModelledAnswer, ModelledAttempt, ModelledRequest
@@ -62,6 +63,7 @@
         self.checks = RuleChecks()
         # By gateway and host, the time at which the gateway was notified that the host drains.
         self.draining: dict[int, dict[int, float]] = {}
+        self.replacement = HostReplacement(shape.hosts)
         self.requests: dict[str, ModelledRequest] = {}
         self.pending = PendingEvents()
         self.totals: dict[int, float] = {}  # The counter's totals, by the name of a call.
@@ -92,6 +94,11 @@
 
     def endpoint_entries(self, draining_host: int = -1) -> list[EndpointEntry]:
         """Return the endpoint list; the host with the number `draining_host` is draining, -1 for none."""
+        entries = self.host_entries(draining_host)
+        return self.replacement.entries(entries) if self.shape.replacement else entries
+
+    def host_entries(self, draining_host: int = -1) -> list[EndpointEntry]:
+        """Return the entries of the shape's hosts, without a process that has replaced one."""
         return [
             EndpointEntry(
                 f"h{host}",
@@ -152,6 +159,8 @@
             moves += [(move_names.KILL, gateway.number), (move_names.STOP, gateway.number)]
         if not self.draining and gateways_with_open_requests:
             moves += [(move_names.DRAIN, host) for host in range(self.shape.hosts)]
+        if self.shape.replacement and self.replacement.replaced is None and gateways_with_open_requests:
+            moves += [(move_names.REPLACE, host) for host in range(self.shape.hosts)]
         return moves
 
     def _time_can_pass(self, delayed: bool) -> bool:
@@ -206,7 +215,12 @@
         host = int(record.endpoint.name[1:])
         draining_since = self.draining.get(gateway.number, {}).get(host)
         self.checks.before_attempt(self.now, name, request, host, draining_since)
-        request.attempts[number] = ModelledAttempt(host, self.now)
+        cell = self.replacement.receiving_cell(host)
+        if gateway.number in self.replacement.told_gateways:
+            self.checks.before_attempt_in_cell(name, request, cell)
+            if host == self.replacement.replaced:
+                self.checks.before_attempt_at_replaced(name, host)
+        request.attempts[number] = ModelledAttempt(host, self.now, cell)
         self.pending.add((move_names.RESPONSE, gateway.number, name, number), connection)
         gateway.queue_input(Input.HOST_REQUEST_WRITTEN, record)
         self.checks.after_attempt(self.requests.values())
@@ -250,6 +264,7 @@
     def digest(self) -> Digest:
         """Return the state's digest, which is equal for states with the same possible continuations."""
         state = [self.now, self.faults_left, self.draining, sorted(self.requests), self.totals]
+        state += [self.replacement.replaced, sorted(self.replacement.told_gateways)]
         requests = [self.requests[name] for name in sorted(self.requests)]
         gateways = [
             (gateway.running, gateway.state_machine if gateway.running else None, gateway.live_timers())
--- a/granitedock/model_checking/gateway_world_shape.py
+++ b/granitedock/model_checking/gateway_world_shape.py
@@ -56,7 +56,8 @@
     `requests` has a request class for each request, `read`, `mark` or `once`, with a ! for a customer under a
     ceiling; clients send them to the gateways in turn. Each gateway serves `warm_up_requests` concurrently
     before the first move, so that it keeps connections, has measured its hosts as fast and cancels attempts
-    that hang.
+    that hang. With `replacement` the hosts are in two cells in turn, hosts of one cell drop the repeats of
+    keyed requests, and a host may be replaced (`host_replacement`).
     """
 
     gateways: int = 2
@@ -64,13 +65,17 @@
     requests: tuple[str, ...] = ("once", "mark", "read")
     faults: int = 1
     warm_up_requests: int = 0
+    replacement: bool = False
 
     def settings(self, gateway: int) -> dict[str, Any]:
         """Return the platform file's field `settings` for a gateway."""
         return {
             "Me": gateway,
             "Balancers": self.gateways,
-            "Lanes": [class_settings(name, idempotency) for name, idempotency in REQUEST_CLASSES.items()],
+            "Lanes": [
+                class_settings(name, idempotency, "cell" if self.replacement else "all")
+                for name, idempotency in REQUEST_CLASSES.items()
+            ],
             "Tariffs": [
                 {"Name": PLAIN_PLAN, "Refill": 2, "MostAtOnce": 2},
                 {"Name": FREE_PLAN, "Refill": 0, "MostAtOnce": 0},
@@ -94,7 +99,7 @@
         return replace(limits, sweep_ms=SWEEP_INTERVAL_MS, counter_links=1)
 
 
-def class_settings(name: str, idempotency: Idempotency) -> dict[str, Any]:
+def class_settings(name: str, idempotency: Idempotency, scope: str) -> dict[str, Any]:
     """Return a request class in the form of the platform file."""
     return {
         "Name": name,
@@ -103,4 +108,5 @@
         "GiveUpMs": DEADLINE_MS,
         "Worth": 1,
         "WindowMs": IDEMPOTENCY_WINDOW_MS if idempotency is Idempotency.KEYED else 0,
+        "DedupScope": scope,
     }
--- a/granitedock/model_checking/modelled_connections.py
+++ b/granitedock/model_checking/modelled_connections.py
@@ -113,6 +113,11 @@
         """Cancel the attempt on this connection."""
         self.end_attempt(move_names.CANCELLED)
 
+    def reset(self) -> None:
+        """Close the connection on behalf of its host; the caller passes the input to the gateway."""
+        self.open = False
+        self.end_attempt(move_names.RESET)
+
     def end_attempt(self, ending: str) -> None:
         """Record the ending of the attempt on this connection, if there is one."""
         if self.attempt is not None:
--- a/granitedock/model_checking/modelled_gateway.py
+++ b/granitedock/model_checking/modelled_gateway.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from granitedock.model_checking import gateway_moves as move_names
-from granitedock.model_checking.modelled_connections import ModelledWatchConnection
+from granitedock.model_checking.modelled_connections import ModelledHostConnection, ModelledWatchConnection
 from granitedock.model_checking.shared_objects import register
 from granitedock.service.discovery_protocol import EndpointListUpdate
 from granitedock.service.dispatcher import GatewayParameters, GatewayStateMachine
@@ -99,6 +99,17 @@
         self.timers = []
         self.inputs = []
 
+    def connections_to(self, host: str) -> list[ModelledHostConnection]:
+        """Return the open connections to a host, in flight or idle."""
+        hosts = self.state_machine.hosts
+        endpoints = self.state_machine.endpoints.by_name.values()
+        connections = [*hosts.by_attempt.values(), *(idle for host in endpoints for idle in host.idle)]
+        return [
+            connection.link  # type: ignore[misc]  # The connections of this gateway are modelled.
+            for connection in connections
+            if connection.endpoint.name == host and connection.link is not None
+        ]
+
     # Timers.
 
     def next_timer_at(self) -> float:
--- a/granitedock/model_checking/modelled_request.py
+++ b/granitedock/model_checking/modelled_request.py
@@ -24,10 +24,14 @@
 
 @dataclass(slots=True)
 class ModelledAttempt:
-    """An attempt as observed by its host. `ending` is the host's outcome, IN_FLIGHT or CANCELLED."""
+    """An attempt as observed by its host. `ending` is the host's outcome, IN_FLIGHT or CANCELLED.
+
+    `cell` is that of the process that received it, which may have replaced the host.
+    """
 
     host: int
     sent_at: float
+    cell: int = 0
     ended_at: float | None = None
     ending: str = move_names.IN_FLIGHT
 
--- a/granitedock/model_checking/rule_checks.py
+++ b/granitedock/model_checking/rule_checks.py
@@ -53,6 +53,18 @@
                     f"rule 2: {name} ({request.request_class}) may have run at h{attempt.host}"
                 )
 
+    def before_attempt_at_replaced(self, name: str, host: int) -> None:
+        """Record an attempt at a host by a gateway that has been told of its successor at the address."""
+        self.violations.append(f"rule 2: {name} was sent to h{host}, whose address has a later process")
+
+    def before_attempt_in_cell(self, name: str, request: ModelledRequest, cell: int) -> None:
+        """Check rule 2 before an attempt that a process of this cell receives, where cells drop repeats."""
+        if request.idempotency is not Idempotency.KEYED:
+            return
+        for attempt in request.attempts.values():
+            if attempt.may_have_run() and attempt.cell != cell:
+                self.violations.append(f"rule 2: {name} may have run in cell {attempt.cell}, not {cell}")
+
     def after_attempt(self, requests: Iterable[ModelledRequest]) -> None:
         """Check rule 5 for the first attempts of the customer under a ceiling, over all gateways."""
         capacity = CEILING.burst + CEILING.slack + CEILING.rate * CEILING_SLACK_S
--- a/granitedock/model_checking/trace.py
+++ b/granitedock/model_checking/trace.py
@@ -55,7 +55,8 @@
             "tasks": shape.requests,
             "faults": shape.faults,
             "warm": shape.warm_up_requests,
-        },
+        }
+        | ({"replacement": True} if shape.replacement else {}),
     }
 
 
--- a/tests/helpers/planted_faults.py
+++ b/tests/helpers/planted_faults.py
@@ -10,8 +10,9 @@
 from granitedock.membership.member_slots import MemberSlots
 from granitedock.membership.timers import NEVER, Timer
 from granitedock.model_checking.gateway_world_shape import GatewayWorldShape
+from granitedock.policy.address_ownership import AddressOwnership
 from granitedock.policy.load_balancer import LoadBalancer
-from granitedock.policy.retry_rules import REPEAT_RULES, RepeatCondition, RepeatRules
+from granitedock.policy.retry_rules import NEVER_RAN, REPEAT_RULES, RepeatCondition, RepeatRules
 from granitedock.policy.token_bucket import TokenBucket
 from granitedock.policy.types import EndpointStatus, Idempotency
 from granitedock.service.dispatcher import HANDLERS
@@ -81,6 +82,20 @@
     monkeypatch.setattr(HostConnections, "cancel_waiting", cancel_without_effects)
 
 
+def forget_ended_processes(monkeypatch):
+    """Let each listed process run, whichever process has its address."""
+    monkeypatch.setattr(AddressOwnership, "superseded_by", lambda self, entry: None)
+
+
+def forget_successors(monkeypatch):
+    """Leave out, of the processes that may have run a request, those that took the addresses of its hosts."""
+
+    def hosts_of_attempts(request):
+        return (attempt.host for attempt in request.attempts if attempt.outcome not in NEVER_RAN)
+
+    monkeypatch.setattr("granitedock.policy.retry_rules.possible_executors", hosts_of_attempts)
+
+
 PLANTED = {
     "answers twice": (answer_twice, GatewayWorldShape(1, 1, ("read",), 0), "rule 1: t0 was answered 2 times"),
     "never answers": (
@@ -104,6 +119,16 @@
         "rule 2: t0 (once) may have run",
     ),
     "drains": (send_to_draining_hosts, GatewayWorldShape(1, 1, ("read",), 2), "rule 3: t"),
+    "ended host again": (
+        forget_ended_processes,
+        GatewayWorldShape(1, 2, ("mark",), 1, replacement=True),
+        "rule 2: t0 was sent to h1, whose address has a later process",
+    ),
+    "another cell": (
+        forget_successors,
+        GatewayWorldShape(1, 4, ("mark",), 2, replacement=True),
+        "rule 2: t0 may have run in cell 1, not 0",
+    ),
     "ceiling": (ignore_ceiling, GatewayWorldShape(2, 1, ("read!",) * 3, 0), "rule 5: over the ceiling"),
 }
 
--- a/tests/model_checking/test_model_checking.py
+++ b/tests/model_checking/test_model_checking.py
@@ -32,8 +32,17 @@
         (GatewayWorldShape(2, 2, ("mark", "read"), 1), 500),
         (GatewayWorldShape(1, 2, ("once", "read"), 1, warm_up_requests=12), 300),
         (GatewayWorldShape(2, 1, ("read!", "read!", "read!"), 0), 20),
+        (GatewayWorldShape(1, 4, ("mark",), 2, replacement=True), 16000),
+        (GatewayWorldShape(1, 3, ("mark",), 1, warm_up_requests=12, replacement=True), 100),
+    ],
+    ids=[
+        "non-idempotent request, two faults",
+        "two gateways",
+        "kept connections",
+        "under a ceiling",
+        "a replaced host, two faults",
+        "a replaced host, kept connections",
     ],
-    ids=["non-idempotent request, two faults", "two gateways", "kept connections", "under a ceiling"],
 )
 def test_no_state_of_a_small_world_violates_a_rule(shape, min_states):
     result = explore.explore(GatewayWorld(shape))
@@ -134,7 +143,12 @@
 def test_each_event_and_each_move_of_a_world_has_a_handler():
     """A kind of event or a move without a handler would end a search with a KeyError."""
     assert set(gateway_events.EVENTS) == set(gateway_moves.OUTCOMES)
-    assert set(gateway_events.FAULTS) == {gateway_moves.KILL, gateway_moves.STOP, gateway_moves.DRAIN}
+    assert set(gateway_events.FAULTS) == {
+        gateway_moves.KILL,
+        gateway_moves.STOP,
+        gateway_moves.DRAIN,
+        gateway_moves.REPLACE,
+    }
     tables = membership_world.ARRIVALS_MS, membership_world.CLUSTER_MOVES, membership_world.GATEWAY_FAULTS
     names = [name for table in tables for name in table]
     stored_names = "pass lose twice late event mend settle crash vanish start pause part"  # In trace files.
