--- a/granitedock/model_checking/modelled_gateway.py
+++ b/granitedock/model_checking/modelled_gateway.py
@@ -58,8 +58,9 @@
                 event_log=NullEventLog(),
             )
         )
-        # The service keeps customers in a mapping of weak references, which do not survive pickling.
+        # The service keeps these in mappings of weak references, which do not survive pickling.
         self.state_machine.requests.customers = {}
+        self.state_machine.endpoints.last_gone = {}
         self._register_shared_objects()
         self.handle(Input.START)
         watch = self.state_machine.watch
--- a/granitedock/service/endpoints.py
+++ b/granitedock/service/endpoints.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+from collections.abc import MutableMapping
 from typing import TYPE_CHECKING, Any, Protocol
+from weakref import WeakValueDictionary
 
 from granitedock.policy.address_ownership import AddressOwnership
 from granitedock.policy.types import EndpointStatus, EndpointUpdate
@@ -48,6 +50,8 @@
         self.context = context
         self.by_name: dict[str, Endpoint] = {}  # Those gone too, while attempts there are in flight.
         self.ownership = AddressOwnership()
+        # By address, the last endpoint to be gone from there, while a request has attempts at it.
+        self.last_gone: MutableMapping[str, Endpoint] = WeakValueDictionary()
         self.outlier_detector: EndpointListener | None = None
 
     def attach(
@@ -78,15 +82,15 @@
         self.context.counts[counter_names.LISTS] += 1
         change = self.ownership.update(listing.entries, listing.complete)
         replaced = self._pop_replaced(change.running)
-        running = [endpoint_update(self._endpoint_of(entry), entry) for entry in change.running]
+        started = [self._new_endpoint(entry) for entry in change.running if entry.name not in self.by_name]
+        running = [endpoint_update(self.by_name[entry.name], entry) for entry in change.running]
         removed = [self.by_name[entry.name] for entry in change.removed if entry.name in self.by_name]
         ended = [*replaced, *removed, *self._superseded(change.superseded)]
         self.policy.update_endpoints([*running, *map(removal, ended)], listing.complete)
-        known = [*replaced, *self.by_name.values()]
-        not_ready = [endpoint for endpoint in known if endpoint.status is not EndpointStatus.READY]
-        self._set_successors(not_ready)
-        for endpoint in not_ready:
-            self._stop_using(endpoint)
+        self._link_successors(ended, started, change.superseded)
+        for endpoint in [*replaced, *self.by_name.values()]:
+            if endpoint.status is not EndpointStatus.READY:
+                self._stop_using(endpoint)
         if self.outlier_detector is not None:
             self.outlier_detector.update_hosts(self.by_name, self.context.now)
 
@@ -106,45 +110,47 @@
             del self.by_name[endpoint.name]
         return replaced
 
-    def _endpoint_of(self, entry: EndpointEntry) -> Endpoint:
-        """Return the endpoint of a process that runs."""
-        endpoint = self.by_name.get(entry.name)
-        if endpoint is None:
-            endpoint = self.by_name[entry.name] = new_endpoint(entry)
+    def _new_endpoint(self, entry: EndpointEntry) -> Endpoint:
+        endpoint = self.by_name[entry.name] = new_endpoint(entry)
         return endpoint
 
     def _superseded(self, supersessions: list[Supersession]) -> list[Endpoint]:
-        """Return the endpoints whose address belongs to a process started later, which is their successor.
+        """Return the endpoints whose address belongs to a process started later.
 
         Prevents attempts at a process that has ended from reaching the one at its address, which may be
         another host, cold and not counted, and may not drop repeats of what the first one has run.
         """
-        superseded = []
         for ended, owner in supersessions:
             self.context.event_log.event("host superseded", host=ended.name, by=owner.name)
-            endpoint = self.by_name.get(ended.name)
-            if endpoint is not None:
-                if owner.name not in self.by_name:
-                    endpoint.successor = endpoint.successor or new_endpoint(owner)  # It has ended as well.
-                superseded.append(endpoint)
-        return superseded
-
-    def _set_successors(self, not_ready: list[Endpoint]) -> None:
-        """Set the successor of each endpoint that is gone, if another process has its address now.
-
-        Attempts that are in flight at the endpoint may have reached that process, also if the end of the
-        first one was told before it.
+        names = (ended.name for ended, _ in supersessions)
+        return [self.by_name[name] for name in names if name in self.by_name]
+
+    def _link_successors(
+        self, ended: list[Endpoint], started: list[Endpoint], supersessions: list[Supersession]
+    ) -> None:
+        """Link the endpoints that are gone to the processes that have taken their addresses since.
+
+        Attempts at the one may have reached the other, which may have ended as well by now.
         """
-        gone = [endpoint for endpoint in not_ready if endpoint.status is EndpointStatus.GONE]
-        if not gone:
-            return
-        listed = [
-            endpoint for endpoint in self.by_name.values() if endpoint.status is not EndpointStatus.GONE
-        ]
-        owners = {endpoint.address: endpoint for endpoint in listed if endpoint.address}
-        for endpoint in gone:
-            if endpoint.successor is None:
-                endpoint.successor = owners.get(endpoint.address)
+        for endpoint in ended:
+            if endpoint.successor is None and endpoint.address:
+                self._follow(endpoint)
+                self.last_gone[endpoint.address] = endpoint
+        for _, owner in supersessions:
+            if owner.name not in self.by_name:
+                endpoint = new_endpoint(owner)  # It has ended, and was perhaps never used.
+                if self._follow(endpoint):
+                    self.last_gone[endpoint.address] = endpoint
+        for endpoint in started:
+            self._follow(endpoint)
+
+    def _follow(self, endpoint: Endpoint) -> bool:
+        """Make an endpoint the successor of the last one that is gone from its address, if that has none."""
+        before = self.last_gone.get(endpoint.address)
+        if before is None or before is endpoint or before.successor is not None:
+            return False
+        before.successor = endpoint
+        return True
 
     def _stop_using(self, endpoint: Endpoint) -> None:
         """Close the idle connections of an endpoint that drains or is gone, and bound deliveries to it."""
--- a/granitedock/service/host_connection.py
+++ b/granitedock/service/host_connection.py
@@ -119,7 +119,7 @@
 }
 
 
-@dataclass(eq=False, slots=True)
+@dataclass(eq=False, slots=True, weakref_slot=True)
 class Endpoint(Host):
     """One process of a host, at one address, with its idle connections, longest idle first.
 
--- a/tests/service/test_reused_addresses.py
+++ b/tests/service/test_reused_addresses.py
@@ -3,60 +3,20 @@
 The gateway's sockets are real; the endpoint list says which process has the address.
 """
 
-import json
-from typing import NamedTuple
-
 import pytest
+from endpoint_lists import Entry, endpoint_list, ready_hosts, send_entries
 from fake_gateway import SETTINGS
-from loopback import START_MS, WATCH_RESPONSE_HEAD, chunk
+from loopback import START_MS
 
 CELL_LANES = [lane | {"WindowMs": 2000, "DedupScope": "cell"} for lane in SETTINGS["Lanes"]]
 KEY = b",k=00000000000000b1"
 ERR = b"-ERR failed\r\n"
 
 
-class Entry(NamedTuple):
-    """One entry of an endpoint list; `host` is the number of the host whose address it has."""
-
-    name: str
-    started_at_ms: float = 0
-    lifecycle: str = "in_service"
-    cell: int = 0
-    host: int = 0
-
-
 OLD = Entry("h0")
 NEW = Entry("new", START_MS)
 
 
-def endpoint_list(gateway, *entries, reset):
-    gateway.version += 1
-    instances = [
-        {
-            "instanceId": entry.name,
-            "hostPort": gateway.hosts[entry.host].address,
-            "startedAtMs": entry.started_at_ms,
-            "lifecycle": entry.lifecycle,
-            "cell": entry.cell,
-        }
-        for entry in (Entry(*fields) for fields in entries)
-    ]
-    return {"generation": gateway.version, "reset": reset, "instances": instances}
-
-
-def send_entries(gateway, *entries, reset=False):
-    """Send a list of these entries, by default at the address of the first host."""
-    watch = gateway.newest_watch()
-    head = b"" if getattr(watch, "head_sent", False) else WATCH_RESPONSE_HEAD
-    watch.head_sent = True
-    watch.send(head + chunk(json.dumps(endpoint_list(gateway, *entries, reset=reset)).encode() + b"\n"))
-    gateway.run_loop()
-
-
-def ready_hosts(gateway):
-    return {host.name for host in gateway.state_machine.policy.load_balancer.ready}
-
-
 @pytest.mark.parametrize("reset", [False, True])
 def test_a_host_whose_address_belongs_to_a_later_process_gets_no_more_work(make_gateway, reset):
     """Guards against work for a host that is gone at the cold process that has its address now."""
@@ -216,13 +176,36 @@
     for entries in news:
         send_entries(gateway, *entries)
     host.close()  # The connection ends, without an answer.
-    peers = [gateway.accept_at_host(number) for number in range(3)]
-    repeats = {number: peer for number, peer in enumerate(peers) if peer and b"API." in peer.read()}
+    repeat = attempt_arrived(gateway, [0, 1])
+    assert attempt_arrived(gateway, [2]) is None and bool(repeat) is repeated
     if repeated:
-        assert len(repeats) == 1 and 2 not in repeats
-        gateway.answer_from_host(*repeats.values(), client)
+        gateway.answer_from_host(repeat, client)
     else:
-        assert not repeats and client.read() == ERR
+        assert client.read() == ERR
+
+
+def attempt_arrived(gateway, numbers):
+    """Return the connection on which one of these hosts has received a request, or None."""
+    peers = [peer for peer in map(gateway.accept_at_host, numbers) if peer and b"API." in peer.read()]
+    assert len(peers) <= 1
+    return peers[0] if peers else None
+
+
+def test_a_keyed_request_is_not_repeated_after_the_replacement_of_a_host_of_an_earlier_attempt(make_gateway):
+    """Guards against a later process that is left out, as its address has no attempt in flight by then."""
+    gateway = make_gateway(hosts=3, lanes=CELL_LANES, Safety=SETTINGS["Safety"] | {"ColdMs": 0})
+    send_entries(gateway, OLD, reset=True)
+    client = gateway.client()
+    client.send(gateway.request("mark", more=KEY))
+    first = attempt_arrived(gateway, [0])
+    send_entries(gateway, Entry("h1", host=1), Entry("h2", host=2), END_OF_OLD)
+    first.close()
+    second = attempt_arrived(gateway, [1, 2])
+    send_entries(gateway)  # The endpoint of the first attempt is not needed any more.
+    assert gateway.state_machine.endpoints.by_name.keys() == {"h1", "h2"}
+    send_entries(gateway, IN_CELL_1)  # The first attempt may have reached it.
+    second.close()
+    assert attempt_arrived(gateway, [0, 1, 2]) is None and client.read() == ERR
 
 
 def test_the_end_of_an_attempt_says_nothing_of_the_process_after_a_restart(make_gateway):
