--- a/granitedock/lab/soak/abusive_process.py
+++ b/granitedock/lab/soak/abusive_process.py
@@ -10,7 +10,6 @@
 
 import selectors
 import socket
-import struct
 import sys
 import time
 from collections.abc import Iterator
@@ -19,12 +18,12 @@
 import orjson
 
 from granitedock.lab.soak.abuse import Abuse, AbuseSource, Manner, Piece, manner_of
+from granitedock.service.socket_queue import NO_LINGER
 
 READ_BYTES = 1 << 16
 POLL_S = 0.01
 RECONNECT_S = 0.02
 ARGUMENTS = 6
-NO_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER on, for 0 s: a close resets the connection.
 
 
 @dataclass
--- a/granitedock/service/client_protocol.py
+++ b/granitedock/service/client_protocol.py
@@ -290,21 +290,27 @@
         """
         if self.ignoring_input or self.budget is None:
             return ReadAhead.MORE
-        max_bytes = self.limits.read
         while len(self._buffer) < self.limits.whole:
-            is_budgeted = len(self._buffer) >= max_bytes
-            if is_budgeted and not self.budget.take(max_bytes, MAX_AHEAD_SHARE):
-                break
-            found = read_once(self.transport, max_bytes)
-            read_bytes = 0 if isinstance(found, ReadAhead) else len(found)
-            if is_budgeted:
-                self.budget.give_back(max_bytes - read_bytes)
-                self.ahead_bytes += read_bytes
+            if len(self._buffer) < self.limits.read:
+                found = read_once(self.transport, self.limits.read)
+            else:
+                found = self.read_within_budget(self.budget)
             if isinstance(found, ReadAhead):
                 return found
             self.buffer_input(found)
         return ReadAhead.MORE
 
+    def read_within_budget(self, budget: MemoryBudget) -> bytes | ReadAhead:
+        """Read what counts against the budget, if it has room."""
+        max_bytes = self.limits.read
+        if not budget.take(max_bytes, MAX_AHEAD_SHARE):
+            return ReadAhead.MORE
+        found = read_once(self.transport, max_bytes)
+        read_bytes = 0 if isinstance(found, ReadAhead) else len(found)
+        budget.give_back(max_bytes - read_bytes)
+        self.ahead_bytes += read_bytes
+        return found
+
     def buffer_input(self, data: bytes) -> None:
         """Buffer received bytes until a slice of time in which they are parsed."""
         if self.scheduler is not None:
--- a/granitedock/service/close_detector.py
+++ b/granitedock/service/close_detector.py
@@ -14,21 +14,18 @@
 
 from __future__ import annotations
 
-import errno
 from enum import Enum, auto
 from socket import MSG_DONTWAIT
 from typing import Any
 
 from granitedock.service.socket_queue import (
+    TEMPORARY_ERRORS,
     counted_input_bytes,
     peer_has_closed,
     take_connection_error,
     tells_state,
 )
 
-# Errors of a read that say nothing about the connection. Source: recv(2).
-TEMPORARY_ERRORS = frozenset({errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
-
 
 class ReadAhead(Enum):
     """What reading ahead of the parser has found."""
--- a/granitedock/service/socket_queue.py
+++ b/granitedock/service/socket_queue.py
@@ -9,6 +9,7 @@
 import struct
 import sys
 import termios
+from dataclasses import dataclass
 from fcntl import ioctl
 from socket import IPPROTO_TCP, MSG_DONTWAIT, MSG_PEEK, SO_ERROR, SO_LINGER, SOL_SOCKET, TCP_INFO
 from typing import Any
@@ -21,12 +22,26 @@
 CLOSED_BY_PEER = frozenset({TIME_WAIT, CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING})
 # Errors after which a connection is over. Others may be temporary, as those of an unreachable network.
 FINAL_ERRORS = frozenset({errno.ECONNRESET, errno.EPIPE, errno.ECONNABORTED, errno.ETIMEDOUT})
+# Errors of a read that say nothing about the connection. Source: recv(2).
+TEMPORARY_ERRORS = frozenset({errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
 # Fields of `struct tcp_info`.
 LAST_DATA_RECEIVED = slice(52, 56)  # `tcpi_last_data_recv`
 BYTES_RECEIVED = slice(128, 136)  # `tcpi_bytes_received`
 NO_LINGER = struct.pack("ii", 1, 0)  # On, for 0 s.
 
 
+@dataclass(frozen=True, slots=True)
+class InputCounts:
+    """What the kernel has counted of a connection's input.
+
+    `received_bytes` is None in a kernel that does not count them. `last_data_ms` is how long ago the latest
+    input arrived, in ms.
+    """
+
+    received_bytes: int | None
+    last_data_ms: int
+
+
 def unsent_bytes(transport: Any) -> int:
     """Return how many written bytes a Twisted transport buffers, because its socket did not take them."""
     return len(transport.dataBuffer) - transport.offset + transport._tempDataLen
@@ -79,16 +94,26 @@
     return connection_state(transport) in CLOSED_BY_PEER
 
 
+def input_counts(transport: Any) -> InputCounts | None:
+    """Return what the kernel has counted of a connection's input, or None for a socket that cannot say."""
+    try:
+        info = transport.getHandle().getsockopt(IPPROTO_TCP, TCP_INFO, BYTES_RECEIVED.stop)
+    except OSError:
+        return None
+    counts_bytes = len(info) == BYTES_RECEIVED.stop
+    return InputCounts(
+        int.from_bytes(info[BYTES_RECEIVED], sys.byteorder) if counts_bytes else None,
+        int.from_bytes(info[LAST_DATA_RECEIVED], sys.byteorder),
+    )
+
+
 def counted_input_bytes(transport: Any) -> int:
     """Return how many bytes of input the kernel has received on a connection, read or not.
 
     Returns 0 for a socket that cannot say.
     """
-    try:
-        info = transport.getHandle().getsockopt(IPPROTO_TCP, TCP_INFO, BYTES_RECEIVED.stop)
-    except OSError:
-        return 0
-    return int.from_bytes(info[BYTES_RECEIVED], sys.byteorder)
+    counts = input_counts(transport)
+    return 0 if counts is None else counts.received_bytes or 0
 
 
 def take_connection_error(transport: Any) -> bool:
@@ -107,13 +132,10 @@
 
     Returns 0 for a connection without input, and for a socket that cannot say.
     """
-    try:
-        info = transport.getHandle().getsockopt(IPPROTO_TCP, TCP_INFO, BYTES_RECEIVED.stop)
-    except OSError:
-        return 0.0
-    if len(info) == BYTES_RECEIVED.stop and not any(info[BYTES_RECEIVED]):
+    counts = input_counts(transport)
+    if counts is None or counts.received_bytes == 0:
         return 0.0
-    return float(int.from_bytes(info[LAST_DATA_RECEIVED], sys.byteorder))
+    return float(counts.last_data_ms)
 
 
 def discard_on_close(transport: Any) -> None:
--- a/tests/golden/test_golden_story.py
+++ b/tests/golden/test_golden_story.py
@@ -16,6 +16,7 @@
 from loopback import START_MS, VALUE, LoopbackGateway, Peer, answer, chunk
 
 from granitedock.service.resp import encode_command
+from granitedock.service.socket_queue import NO_LINGER
 
 RECORDED = Path(__file__).parents[1] / "data" / "golden_story.json"
 BUSY, FAILED = b"-BUSY\r\n", b"-ERR failed\r\n"
@@ -108,7 +109,7 @@
         queue = self.host_answers[number]
         reply = queue.pop(0) if len(queue) > 1 else queue[0]
         if reply == "reset":
-            peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
             self.close_connection(peer)
         elif reply is None:
             self.unanswered_peer = peer
--- a/tests/helpers/redirected_sockets.py
+++ b/tests/helpers/redirected_sockets.py
@@ -6,14 +6,14 @@
 
 import os
 import socket
-import struct
+
+from granitedock.service.socket_queue import NO_LINGER
 
 # What may stand in the place of the descriptor.
 UNCONNECTED = "unconnected"  # A TCP socket that was never connected; its state is CLOSE.
 DATAGRAM = "datagram"  # A socket without a TCP state.
 ESTABLISHED = "established"  # A TCP connection that stays open, whatever becomes of the client's.
 RESET = "reset"  # A TCP connection that its peer has reset.
-NO_LINGER = struct.pack("ii", 1, 0)  # A close resets the connection.
 
 
 class RedirectedSocket(socket.socket):
--- a/tests/service/test_race_conditions.py
+++ b/tests/service/test_race_conditions.py
@@ -18,6 +18,7 @@
 from granitedock.service.inputs import Input
 from granitedock.service.lifecycle import LifecycleState
 from granitedock.service.resp import encode_command
+from granitedock.service.socket_queue import NO_LINGER
 
 PING = encode_command(b"PING")
 # Attempts stay in flight for as long as clients wait.
@@ -477,7 +478,7 @@
     watch = gateway.newest_watch()
     watch.send(b"HTTP/1.1 200 OK\r\n\r\n" + text[:-40])
     gateway.run_loop()
-    watch.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    watch.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
     watch.close()
     gateway.run_loop()
     assert known_addresses(gateway) == [] and gateway.state_machine.state is LifecycleState.STARTING
--- a/tests/service/test_replaced_hosts_soak.py
+++ b/tests/service/test_replaced_hosts_soak.py
@@ -18,6 +18,8 @@
 from fake_gateway import SETTINGS
 from loopback import VALUE
 
+from granitedock.service.socket_queue import NO_LINGER
+
 SEEDS = int(os.environ.get("REPLACED_HOST_SEEDS", "12"))
 STEP_MS = 20.0
 STORY_MS = 12000.0
@@ -118,9 +120,7 @@
         before = self.alive[number]
         for connection in self.connections:
             if connection.process is before and not connection.peer.ended:
-                # A reset: a crash closes over unread input, and an orderly end would be a response cut off.
-                linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
-                connection.peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                connection.peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
                 connection.peer.close()
                 connection.peer.ended = "crashed"
         restarts = self.random.random() < RESTART_SHARE
