--- a/granitedock/policy/types.py
+++ b/granitedock/policy/types.py
@@ -240,6 +240,19 @@
     started_at: float
     status: EndpointStatus
 
+    @classmethod
+    def removal(cls, host: Host) -> EndpointUpdate:
+        """Return the update that removes a host."""
+        return cls(
+            host,
+            host.size,
+            host.machine_type,
+            host.zone,
+            host.cell,
+            host.started_at,
+            EndpointStatus.GONE,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class SharedQuota:
--- a/granitedock/service/endpoints.py
+++ b/granitedock/service/endpoints.py
@@ -86,7 +86,7 @@
         running = [endpoint_update(self.by_name[entry.name], entry) for entry in change.running]
         removed = [self.by_name[entry.name] for entry in change.removed if entry.name in self.by_name]
         ended = [*replaced, *removed, *self._superseded(change.superseded)]
-        self.policy.update_endpoints([*running, *map(removal, ended)], listing.complete)
+        self.policy.update_endpoints([*running, *map(EndpointUpdate.removal, ended)], listing.complete)
         self._link_successors(ended, started, change.superseded)
         for endpoint in [*replaced, *self.by_name.values()]:
             if endpoint.status is not EndpointStatus.READY:
@@ -184,16 +184,3 @@
         entry.started_at,
         entry.status,
     )
-
-
-def removal(endpoint: Endpoint) -> EndpointUpdate:
-    """Return the update that removes an endpoint."""
-    return EndpointUpdate(
-        endpoint,
-        endpoint.size,
-        endpoint.machine_type,
-        endpoint.zone,
-        endpoint.cell,
-        endpoint.started_at,
-        EndpointStatus.GONE,
-    )
--- a/granitedock/simulator_adapter/session.py
+++ b/granitedock/simulator_adapter/session.py
@@ -124,10 +124,10 @@
         if form == ENDPOINT_LIST_FAILED:
             return
         complete = lookup(IS_COMPLETE_BY_LIST_FORM, form, "form of an endpoint list")
-        updates = [self.endpoint_update(*record) for record in records]
+        updates = [update for record in records for update in self.endpoint_updates(*record)]
         self.gateway.update_endpoints(updates, complete)
 
-    def endpoint_update(  # noqa: PLR0913 - the fields of the record on the wire
+    def endpoint_updates(  # noqa: PLR0913 - the fields of the record on the wire
         self,
         size: float | None,
         machine_type: str | None,
@@ -136,13 +136,18 @@
         zone: str | None,
         cell: int | None,
         status: str,
-    ) -> EndpointUpdate:
-        """Return the update from a record of an endpoint list; a host is created for a new address."""
-        host = self.hosts.get(address)
-        if host is None:
+    ) -> list[EndpointUpdate]:
+        """Return the updates from a record of an endpoint list: of its host, and of one that it replaces.
+
+        A host is created for a new address, and for a later start at a known one: what is known of the
+        process before, and its attempts, say nothing of the one that has started.
+        """
+        known = self.hosts.get(address)
+        host = known
+        if host is None or (started_at or 0.0) > host.started_at:
             host = self.hosts[address] = Host()
             self.addresses[host] = address
-        return EndpointUpdate(
+        update = EndpointUpdate(
             host,
             1.0 if size is None else float(size),
             machine_type or "",
@@ -151,6 +156,11 @@
             started_at or 0.0,
             lookup(ENDPOINT_STATUSES, status, "host status"),
         )
+        if known is None or known is host:
+            return [update]
+        known.successor = host
+        del self.addresses[known]
+        return [update, EndpointUpdate.removal(known)]
 
     def on_request(  # noqa: PLR0913 - the fields of the event on the wire
         self,
--- a/tests/simulator_adapter/test_simulator_adapter.py
+++ b/tests/simulator_adapter/test_simulator_adapter.py
@@ -3,7 +3,10 @@
 import io
 import json
 
+from granitedock.policy.types import Outcome
 from granitedock.simulator_adapter.batches import BatchProcessor, run
+from granitedock.simulator_adapter.codec import OUTCOMES
+from granitedock.simulator_adapter.session import Session
 
 SETTINGS = (
     '{"Me":0,"Balancers":1,"Lanes":[{"Name":"r","Repeat":"safe","TargetMs":1000,"GiveUpMs":4000,"Worth":1}],'
@@ -47,3 +50,20 @@
     output = io.BytesIO()
     assert run(io.BytesIO(b'{"MomentMs":1,"groups":[]}\n'), output) == 0
     assert output.getvalue() == b'{"groups":[]}\n'
+
+
+def test_a_keyed_request_is_not_repeated_in_the_cell_of_a_host_that_has_restarted_in_another():
+    """Guards against a restarted host that changes the cell and the health of the process before it."""
+    keyed = {"Name": "k", "Repeat": "keyed", "TargetMs": 1000, "GiveUpMs": 4000, "Worth": 1}
+    settings = json.loads(SETTINGS) | {"Lanes": [keyed | {"WindowMs": 2000, "DedupScope": "cell"}]}
+    session = Session(5000.0, 7, settings)
+    session.on_endpoint_list("FULL", [[1.0, "m", 0.0, "h:1", "z", 0, "IN"]])
+    session.on_request(1, "k", "p", "a1", 4000.0)
+    assert [command[0] for command in session.take_commands()] == ["Send"]
+    others = [[1.0, "m", 0.0, f"h:{number}", "z", number % 2, "IN"] for number in (2, 3)]
+    session.on_endpoint_list("INCREMENTAL", [[1.0, "m", 4900.0, "h:1", "z", 1, "IN"], *others])
+    reset = next(code for code, outcome in OUTCOMES.items() if outcome is Outcome.RESET)
+    session.on_attempt_finished(1, "h:1", 0, 50.0, False, 0, reset)
+    assert [command[0] for command in session.take_commands()] == ["DropRequest"]
+    assert session.hosts["h:1"].health.failures == 0
+    assert sorted(session.addresses.values()) == ["h:1", "h:2", "h:3"]
