--- a/granitedock/policy/address_ownership.py
+++ b/granitedock/policy/address_ownership.py
@@ -108,12 +108,12 @@
     def _remove(self, entry: EndpointEntry) -> Collection[str]:
         """Remove a process that is gone, and return the addresses that this affects."""
         known = self.listed.pop(entry.name, None)
-        if self.latest_start_at_move.pop(entry.name, None) is not None:
-            self.last_ended.pop(entry.address, None)  # It came after those that ended before it.
         self._remember_end(entry)
         if known is None:
             return (entry.address,)
-        self._remember_end(known)
+        # One that has moved here came after those that had started here before.
+        start = max(known.started_at, self.latest_start_at_move.pop(entry.name, NEVER))
+        self._remember_end(known._replace(started_at=start))
         self._leave_address(known)
         return entry.address, known.address
 
--- a/tests/policy/test_address_ownership.py
+++ b/tests/policy/test_address_ownership.py
@@ -161,6 +161,20 @@
     assert ownership.listed.keys() == {"x"}
 
 
+def test_the_end_of_a_process_that_had_moved_does_not_hide_a_later_start_before_it():
+    """Guards against the removal of a living host that has moved, by news of a start from before its move."""
+    ownership = AddressOwnership()
+    later = process("later", "b", 3000.0)
+    ownership.update([process("x", "a", 1000.0), process("y", "c", 2000.0), later], True)
+    ownership.update([later._replace(status=GONE)], False)
+    ownership.update([process("y", "b", 2000.0)], False)
+    ownership.update([process("y", "b", 2000.0, GONE)], False)
+    ownership.update([process("x", "b", 1000.0)], False)
+    ownership.update([later], False)  # It is still named,
+    ownership.update([later._replace(status=GONE)], False)  # and not any more.
+    assert running(ownership) == {"x"}
+
+
 def test_processes_that_cannot_be_told_apart_count_as_running():
     """Guards against the removal of a living host without a proof that it has ended."""
     ownership = AddressOwnership()
